--- /dev/null
+++ b/arbutusladder/cell/cellstate.py
@@ -0,0 +1,528 @@
+"""State of a cell in its owner: jobs, workers and what was heard of them."""
+
+from dataclasses import dataclass, field
+
+from arbutusladder import events
+from arbutusladder.cell.interfaces import (
+    EndedTask,
+    OrderAnswer,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+from arbutusladder.cell.stages import (
+    Job,
+    Stage,
+    Ticket,
+    longest_chain,
+    new_stage,
+    restore_stage,
+    stage_key,
+)
+from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome, RunPhase
+from arbutusladder.cell.workers import Run, Worker, is_complete
+from arbutusladder.events import Event
+from arbutusladder.ids import JobId, VmId
+from arbutusladder.messages import (
+    AdviceReply,
+    JobProgress,
+    Resources,
+    SubmittedJob,
+)
+
+# Ends that a worker lists in one report (PROTOCOL, ended).
+MOST_ENDS = 500
+# Run numbers that are skipped when a worker already knows a higher one.
+RUN_SKIP = 5
+# Seconds taken off the validity of a ticket for the way of the start order.
+TICKET_MARGIN_S = 0.2
+# Seconds without orders to a worker that had no room or was not reached.
+ORDER_PAUSE_S = 0.3
+
+
+@dataclass
+class Changes:
+    """What happened since the last look.
+
+    Attributes:
+        dirty: Jobs whose progress has to be stored.
+        notes: Decisions for the event log, as event and fields.
+        fenced: Whether a worker knows a newer owner.
+    """
+
+    dirty: set[JobId] = field(default_factory=set)
+    notes: list[tuple[Event, dict]] = field(default_factory=list)
+    fenced: bool = False
+
+
+class CellState:
+    """Jobs and workers of one cell.
+
+    Args:
+        wall_offset: Wall clock time less monotonic time in seconds.
+    """
+
+    def __init__(self, wall_offset: float):
+        self._wall_offset = wall_offset
+        self.job_by_id: dict[JobId, Job] = {}
+        self.worker_by_vm: dict[VmId, Worker] = {}
+        self.unread_until_by_vm: dict[VmId, float] = {}
+        self.changes = Changes()
+
+    def add_job(
+        self,
+        record: SubmittedJob,
+        progress: JobProgress,
+        now: float,
+        inherited: bool = False,
+    ) -> Job:
+        """Takes a job in.
+
+        Args:
+            record: The submission.
+            progress: What is stored of its progress.
+            now: Monotonic time in seconds.
+            inherited: Whether a previous owner may have started tasks of it.
+        """
+        accepted_at = min(now, record.accepted_at - self._wall_offset)
+        job = Job(record, accepted_at, progress.state, inherited)
+        queue = record.queue
+        chain = longest_chain(record)
+        job.objective_at = accepted_at + queue.stretch * chain + queue.objective_s
+        self.job_by_id[job.id] = job
+        progress_by_key = {
+            stage_key(job.id, stage.occurrence, stage.step): stage
+            for stage in progress.stages
+        }
+        for occurrence in range(max(1, record.times)):
+            due_at = accepted_at
+            if record.times:
+                due_wall = record.first_at + occurrence * record.interval_s
+                due_at = due_wall - self._wall_offset
+            for step in range(len(record.steps)):
+                stage = new_stage(job, occurrence, step, due_at)
+                if stage.key in progress_by_key:
+                    restore_stage(stage, progress_by_key[stage.key])
+        return job
+
+    def cancel(self, job_id: JobId) -> None:
+        """Cancels a job; its runs are stopped."""
+        job = self.job_by_id.get(job_id)
+        if job and not job.phase.is_final:
+            self._finish(job, JobPhase.CANCELLED)
+
+    def update_registry(self, entry_by_vm: dict[VmId, WorkerEntry], now: float) -> None:
+        """Takes the list of workers."""
+        for vm, entry in entry_by_vm.items():
+            worker = self.worker_by_vm.get(vm)
+            if worker is None:
+                self._add_worker(entry)
+            elif entry.born != worker.entry.born:
+                if entry.born > worker.entry.born:
+                    self._restarted(worker, entry)
+            else:
+                worker.entry = entry
+                worker.listed = True
+        for vm, worker in list(self.worker_by_vm.items()):
+            if vm not in entry_by_vm:
+                worker.listed = False
+                if not worker.run_by_key and worker.lapsed(now):
+                    del self.worker_by_vm[vm]
+
+    def report(self, vm: VmId, report: WorkerReport, sent_at: float, now: float) -> int:
+        """Takes what a worker runs and what ended there.
+
+        Args:
+            vm: The worker.
+            report: Its answer.
+            sent_at: Monotonic time at which the question was sent.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The highest end in the report; it may be acknowledged once the
+            progress of all dirty jobs is stored.
+        """
+        worker = self.worker_by_vm.get(vm)
+        if worker is None:
+            return 0
+        if report.born > worker.entry.born:
+            self._lose_runs(worker, "restarted")
+            worker.entry = _with_born(worker.entry, report.born)
+            worker.acknowledged = worker.ended_counts = 0
+        worker.heard(report.clock, now)
+        for ended in report.ended:
+            if ended.number > worker.ended_counts:
+                worker.ended_counts = ended.number
+                self._take_end(worker, ended, now)
+        listed = {(row.task, row.run) for row in report.running}
+        for row in report.running:
+            self._take_running(worker, row, now)
+        if is_complete(report, MOST_ENDS):
+            self._drop_missing(worker, listed, sent_at)
+        if self.unread_until_by_vm.pop(vm, None) and not self.unread_until_by_vm:
+            self._stop_partial_gangs()
+        return worker.ended_counts
+
+    def start_answered(
+        self, order: StartOrder, answer: OrderAnswer, now: float
+    ) -> None:
+        """Takes the answer to a start order."""
+        worker = self.worker_by_vm.get(order.vm)
+        run = worker.run_by_key.get((order.task, order.run)) if worker else None
+        if worker and answer.clock is not None:
+            worker.heard(answer.clock, now)
+        if answer.outcome is OrderOutcome.FENCED:
+            self.changes.fenced = True
+        if run is None or run.phase is not RunPhase.SENT:
+            return
+        run.changed_at = now
+        if answer.outcome is OrderOutcome.ACCEPTED:
+            run.phase = RunPhase.RUNNING
+            run.moved_at = now
+            return
+        stage = self._stage_of(run)
+        if answer.outcome is OrderOutcome.UNKNOWN:
+            run.phase = RunPhase.DOUBTFUL
+            run.stop_wanted = True
+        else:
+            self._start_rejected(worker, run, stage, answer.outcome, now)
+        self._note(
+            events.START_FAILED,
+            task=run.task,
+            run=run.number,
+            worker=run.vm,
+            outcome=answer.outcome.value,
+        )
+        if stage and stage.spec.gang:
+            self._stop_runs(stage)
+
+    def stop_answered(self, order: StopOrder, answer: OrderAnswer, now: float) -> None:
+        """Takes the answer to a stop order."""
+        worker = self.worker_by_vm.get(order.vm)
+        if answer.outcome is OrderOutcome.FENCED:
+            self.changes.fenced = True
+        if worker is None:
+            return
+        if answer.outcome is OrderOutcome.WORKER_REPLACED:
+            self._lose_worker(worker, "replaced")
+            return
+        run = worker.run_by_key.get((order.task, order.run))
+        if run and answer.outcome is OrderOutcome.ACCEPTED:
+            run.stop_answered_at = now
+            run.phase = RunPhase.STOPPING
+
+    def advice_answered(
+        self, key: str, asked: tuple[VmId, ...], reply: AdviceReply, now: float
+    ) -> None:
+        """Takes tickets for a step."""
+        stage = self.stage(key)
+        if stage is None:
+            return
+        stage.advice.asked_at = None
+        if not reply.answered:
+            return
+        stage.advice.known.update(asked)
+        until = now + reply.validity_s - TICKET_MARGIN_S
+        for row in reply.tickets:
+            stage.advice.ticket_by_vm[row.worker] = Ticket(row.ticket, until)
+
+    def worker_gone(self, vm: VmId) -> None:
+        """Notes that another life answers at a worker's address."""
+        worker = self.worker_by_vm.get(vm)
+        if worker:
+            self._lose_worker(worker, "replaced")
+
+    def expire(self, now: float) -> None:
+        """Ends what has certainly ended by time alone."""
+        for worker in list(self.worker_by_vm.values()):
+            silent = worker.silent_since is not None
+            if silent and worker.run_by_key and worker.lapsed(now):
+                self._lose_runs(worker, "lapsed")
+        for vm, until in list(self.unread_until_by_vm.items()):
+            if now > until:
+                del self.unread_until_by_vm[vm]
+                if not self.unread_until_by_vm:
+                    self._stop_partial_gangs()
+
+    def stage(self, key: str) -> Stage | None:
+        """Returns a step of a job that is not over."""
+        job = self.job_by_id.get(JobId(key.split(".", 1)[0]))
+        return job.stage_by_key.get(key) if job else None
+
+    def drop_plan(self, stage: Stage) -> list[Worker | None]:
+        """Gives back the room that a step holds; returns the workers of the plan."""
+        workers = [self.worker_by_vm.get(vm) for _, vm in stage.plan]
+        for worker in workers:
+            if worker:
+                worker.release(stage.spec.need)
+        stage.plan = []
+        return workers
+
+    def forget_finished(self) -> None:
+        """Drops jobs that are over, without runs, and stored."""
+        for job in list(self.job_by_id.values()):
+            stored = job.phase.is_final and job.id not in self.changes.dirty
+            if stored and not any(s.active for s in job.stage_by_key.values()):
+                del self.job_by_id[job.id]
+
+    def attach_run(
+        self,
+        stage: Stage,
+        index: int,
+        number: int,
+        vm: VmId,
+        phase: RunPhase,
+        now: float,
+    ) -> Run:
+        """Creates a run and takes its resources."""
+        run = Run(
+            stage.task_name(index),
+            number,
+            stage.job.id,
+            stage.key,
+            index,
+            vm,
+            stage.spec.need if not stage.spec.fills else _memory_only(stage),
+            phase,
+            now,
+            moved_at=now,
+        )
+        task = stage.tasks[index]
+        task.runs.append(run)
+        task.last_run = max(task.last_run, number)
+        self.worker_by_vm[vm].attach(run)
+        if stage.job.phase is JobPhase.QUEUED:
+            stage.job.phase = JobPhase.RUNNING
+        self.changes.dirty.add(stage.job.id)
+        return run
+
+    def _add_worker(self, entry: WorkerEntry) -> None:
+        for other in list(self.worker_by_vm.values()):
+            if other.entry.address == entry.address and other.entry.born < entry.born:
+                self._lose_worker(other, "address taken")
+        self.worker_by_vm[entry.vm] = Worker.create(entry)
+
+    def _restarted(self, worker: Worker, entry: WorkerEntry) -> None:
+        self._lose_runs(worker, "restarted")
+        self.worker_by_vm[entry.vm] = Worker.create(entry)
+        self.unread_until_by_vm.pop(entry.vm, None)
+
+    def _lose_worker(self, worker: Worker, cause: str) -> None:
+        self._lose_runs(worker, cause)
+        worker.listed = False
+        self.worker_by_vm.pop(worker.entry.vm, None)
+        self.unread_until_by_vm.pop(worker.entry.vm, None)
+
+    def _lose_runs(self, worker: Worker, cause: str) -> None:
+        runs = list(worker.run_by_key.values())
+        if runs:
+            self._note(
+                events.RUNS_LOST, worker=worker.entry.vm, runs=len(runs), cause=cause
+            )
+        for run in runs:
+            self._over(worker, run)
+
+    def _over(self, worker: Worker, run: Run) -> Stage | None:
+        worker.detach(run)
+        stage = self._stage_of(run)
+        if stage and run in stage.tasks[run.index].runs:
+            stage.tasks[run.index].runs.remove(run)
+        return stage
+
+    def _start_rejected(
+        self,
+        worker: Worker,
+        run: Run,
+        stage: Stage | None,
+        outcome: OrderOutcome,
+        now: float,
+    ) -> None:
+        self._over(worker, run)
+        match outcome:
+            case OrderOutcome.OLD_RUN:
+                if stage:
+                    stage.tasks[run.index].last_run += RUN_SKIP
+            case OrderOutcome.TICKET_INVALID:
+                if stage:
+                    stage.advice.ticket_by_vm.pop(run.vm, None)
+                    stage.advice.known.discard(run.vm)
+            case OrderOutcome.WORKER_REPLACED:
+                self._lose_worker(worker, "replaced")
+            case _:
+                worker.paused_until = max(worker.paused_until, now + ORDER_PAUSE_S)
+
+    def _take_end(self, worker: Worker, ended: EndedTask, now: float) -> None:
+        stage, index = self._find(ended.task)
+        run = worker.run_by_key.get((ended.task, ended.run))
+        if run:
+            self._over(worker, run)
+        if stage is None or index >= len(stage.tasks):
+            return
+        task = stage.tasks[index]
+        task.last_run = max(task.last_run, ended.run)
+        if ended.saved:
+            task.saved = ended.saved
+        self.changes.dirty.add(stage.job.id)
+        match ended.how:
+            case EndKind.DONE:
+                if run:
+                    worker.note_success(run)
+                self._task_done(stage, index)
+            case EndKind.FAILED:
+                if run:
+                    worker.note_failure(run, now)
+                self._task_failed(stage, index, ended.run)
+            case _:
+                if stage.spec.gang:
+                    self._stop_runs(stage)
+        self._note(
+            events.RUN_ENDED,
+            task=ended.task,
+            run=ended.run,
+            worker=worker.entry.vm,
+            how=ended.how.value,
+        )
+
+    def _take_running(self, worker: Worker, row: RunningTask, now: float) -> None:
+        run = worker.run_by_key.get((row.task, row.run))
+        stage, index = self._find(row.task)
+        if run is None:
+            run = self._adopt(worker, row, stage, index, now)
+        if run.phase is RunPhase.SENT:
+            run.phase, run.changed_at = RunPhase.RUNNING, now
+        if row.percent > run.percent:
+            run.percent, run.moved_at = row.percent, now
+        if stage and row.saved and index < len(stage.tasks):
+            stage.tasks[index].saved = row.saved
+
+    def _adopt(
+        self,
+        worker: Worker,
+        row: RunningTask,
+        stage: Stage | None,
+        index: int,
+        now: float,
+    ) -> Run:
+        """Takes over a run that a previous owner started, or one that came late."""
+        known = stage is not None and index < len(stage.tasks)
+        if known and not stage.job.phase.is_final and not stage.tasks[index].done:
+            others = stage.tasks[index].runs
+            run = self.attach_run(
+                stage, index, row.run, worker.entry.vm, RunPhase.RUNNING, now
+            )
+            if len(others) > 1 and not stage.spec.speculative:
+                run.stop_wanted = True
+            return run
+        need = stage.spec.need if known else Resources()
+        run = Run(
+            row.task,
+            row.run,
+            JobId(row.task.split(".", 1)[0]),
+            "",
+            0,
+            worker.entry.vm,
+            need,
+            RunPhase.RUNNING,
+            now,
+            stop_wanted=True,
+        )
+        worker.attach(run)
+        self._note(events.RUN_STRAY, task=row.task, run=row.run, worker=worker.entry.vm)
+        return run
+
+    def _drop_missing(self, worker: Worker, listed: set, sent_at: float) -> None:
+        """Ends runs that a worker neither runs nor reports as ended.
+
+        A run counts as missing only if the question was sent after its start
+        was confirmed, or after the order to stop it was.
+        """
+        for run in list(worker.run_by_key.values()):
+            if run.key in listed:
+                continue
+            if run.stop_answered_at is not None:
+                known_at = run.stop_answered_at
+            elif run.phase is RunPhase.RUNNING:
+                known_at = run.changed_at
+            else:
+                continue
+            if sent_at > known_at:
+                self._over(worker, run)
+
+    def _task_done(self, stage: Stage, index: int) -> None:
+        if stage.spec.lasting:
+            return
+        finished = range(len(stage.tasks)) if stage.spec.gang else (index,)
+        for number in finished:
+            task = stage.tasks[number]
+            task.done = True
+            if not stage.spec.gang:
+                for run in task.runs:
+                    run.stop_wanted = True
+        job = stage.job
+        if all(stage.done for stage in job.stage_by_key.values()):
+            self._finish(job, JobPhase.COMPLETED)
+
+    def _task_failed(self, stage: Stage, index: int, number: int) -> None:
+        # Members of a gang fail together, which counts once.
+        task = stage.tasks[0 if stage.spec.gang else index]
+        if number > task.failed_run or stage.spec.speculative:
+            task.failed_run = max(number, task.failed_run)
+            task.failures += 1
+        most = stage.job.record.queue.max_attempts
+        if task.failures >= most and not stage.spec.lasting and not task.done:
+            self._finish(stage.job, JobPhase.FAILED)
+        elif stage.spec.gang:
+            self._stop_runs(stage)
+
+    def _finish(self, job: Job, phase: JobPhase) -> None:
+        if job.phase.is_final:
+            return
+        job.phase = phase
+        self.changes.dirty.add(job.id)
+        self._note(events.CELL_JOB_ENDED, job=job.id, state=phase.value)
+        for stage in job.stage_by_key.values():
+            self.drop_plan(stage)
+        if phase is not JobPhase.COMPLETED:
+            for stage in job.stage_by_key.values():
+                self._stop_runs(stage)
+
+    def _stop_runs(self, stage: Stage) -> None:
+        for run in stage.active:
+            run.stop_wanted = True
+
+    def _stop_partial_gangs(self) -> None:
+        for job in self.job_by_id.values():
+            for stage in job.stage_by_key.values():
+                partial = 0 < len(stage.active) < len(stage.tasks)
+                if job.inherited and stage.spec.gang and partial:
+                    self._stop_runs(stage)
+
+    def _stage_of(self, run: Run) -> Stage | None:
+        return self.stage(run.stage) if run.stage else None
+
+    def _find(self, task: str) -> tuple[Stage | None, int]:
+        key, _, index = task.rpartition(".")
+        return self.stage(key), int(index) if index.isdigit() else 0
+
+    def _note(self, event: Event, **fields: object) -> None:
+        self.changes.notes.append((event, fields))
+
+
+def _with_born(entry: WorkerEntry, born: int) -> WorkerEntry:
+    return WorkerEntry(
+        entry.vm,
+        born,
+        entry.address,
+        entry.service,
+        entry.failure_domain,
+        entry.capacity,
+        entry.labels,
+        entry.draining,
+    )
+
+
+def _memory_only(stage: Stage) -> Resources:
+    need = stage.spec.need
+    return Resources(0.0, need.memory_mb, need.accelerators)
--- /dev/null
+++ b/arbutusladder/cell/claims.py
@@ -0,0 +1,72 @@
+"""Who owns the cell: claims on the log, decided by conditional appends."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from arbutusladder.cell.interfaces import KeyedRecord
+from arbutusladder.ids import Epoch, VmId
+from arbutusladder.messages import CellClaim
+
+OWNER_TOPIC = "keyed.owner"
+OWNER_KEY = "owner"
+# Seconds between renewals of a claim.
+RENEW_S = 0.6
+# Seconds without a renewal after which others claim: three lost renewals.
+SILENCE_S = 1.9
+
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(CellClaim)
+
+
+@dataclass
+class ClaimView:
+    """The newest claim that an entry VM has read.
+
+    Attributes:
+        vm: This entry VM.
+        end: End of the topic as last read.
+        claim: Newest claim; None before the first.
+        changed_at: Monotonic time at which the end last moved.
+    """
+
+    vm: VmId
+    end: int = 0
+    claim: CellClaim | None = None
+    changed_at: float = 0.0
+
+    def apply(self, records: list[KeyedRecord], end: int, now: float) -> None:
+        """Takes what was read."""
+        if end != self.end or self.changed_at == 0.0:
+            self.changed_at = now
+        self.end = end
+        for record in records:
+            if record.key == OWNER_KEY and record.value:
+                self.claim = _DECODER.decode(record.value)
+
+    def held_by_me(self, epoch: Epoch) -> bool:
+        """Returns whether this entry VM holds the claim of an epoch."""
+        claim = self.claim
+        return (
+            claim is not None
+            and claim.holder == self.vm
+            and claim.epoch == epoch
+            and not claim.released
+        )
+
+    def may_claim(self, now: float) -> bool:
+        """Returns whether the owner has released its claim or gone silent."""
+        if self.claim is None or self.claim.released:
+            return True
+        return now - self.changed_at >= SILENCE_S
+
+    def next_claim(self, address: str) -> CellClaim:
+        """Returns a claim of the next epoch for this entry VM."""
+        epoch = self.claim.epoch + 1 if self.claim else 1
+        silent = list(self.claim.silent_workers) if self.claim else []
+        return CellClaim(Epoch(epoch), self.vm, address, 0, silent_workers=silent)
+
+
+def claim_item(claim: CellClaim) -> tuple[str, bytes]:
+    """Returns key and value of a claim."""
+    return OWNER_KEY, _ENCODER.encode(claim)
--- /dev/null
+++ b/arbutusladder/cell/owner.py
@@ -0,0 +1,374 @@
+"""The owner of a cell: sends orders to workers and stores what they report."""
+
+from __future__ import annotations
+
+import itertools
+from typing import TYPE_CHECKING
+
+import curio
+
+from arbutusladder import events
+from arbutusladder.cell.advising import AdviceDispatcher
+from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.interfaces import (
+    AdviceOrder,
+    Fenced,
+    KeyedRecord,
+    OrderAnswer,
+    PositionLost,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+    WriterPosition,
+)
+from arbutusladder.cell.jobtable import PROGRESS_TOPIC, progress_item
+from arbutusladder.cell.placement import Placer
+from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.cell.workers import CLOCK_RATE_ERROR
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.ids import JobId, SeatId, VmId
+from arbutusladder.messages import CellClaim, MemberHello, OwnerBeat, ProgressRelay
+
+if TYPE_CHECKING:
+    from arbutusladder.cell.member import Member, Surroundings
+
+# Seconds of a lease; long enough for a successor to renew it after a kill.
+LEASE_S = 5.0
+# Seconds for which a renewal waits for an end on a worker with tasks.
+BUSY_WAIT_S = 1.0
+IDLE_WAIT_S = 2.0
+# Seconds between looks at the registry of workers.
+REGISTRY_S = 0.5
+# Seconds after which decisions are made even if nothing was heard.
+DECIDE_S = 0.2
+# Seconds for which events gather before decisions are made.
+GATHER_S = 0.005
+RETRY_S = 0.2
+# Seconds for which a successor waits for the workers' first answers.
+FIRST_READ_S = 1.2
+# Seconds by which a replaced owner may still extend leases before it notices.
+PREDECESSOR_S = 3.0
+PRODUCER = "owner"
+
+
+class Owner:
+    """Owns the workers of a cell under one epoch.
+
+    Args:
+        claim: The claim on the log.
+        member: Entry VM that runs it.
+        around: Log, workers and clocks.
+    """
+
+    def __init__(self, claim: CellClaim, member: Member, around: Surroundings):
+        self.epoch = claim.epoch
+        self.released = False
+        self._member = member
+        self._around = around
+        self._clock = around.clock
+        self._log = around.log
+        now = self._clock.now()
+        self.state = CellState(self._clock.wall() - now)
+        self._placer = Placer(self.state)
+        self._predecessor_silent = claim.silent_workers
+        self._lease = min(LEASE_S, around.settings.longest_lease_s)
+        self._work = curio.Event()
+        self._dirty = curio.Event()
+        self._batch_started = 0
+        self._batch_written = 0
+        self._written = curio.Event()
+        self._sequence = itertools.count(1)
+        self._end: curio.Result = curio.Result()
+        self._keepers: dict[VmId, curio.Task] = {}
+        self._entry_by_vm: dict[VmId, WorkerEntry] = {}
+        self._registry_offset = 0
+        self._listen_by_member: dict[VmId, str] = {}
+        self.advising = AdviceDispatcher(
+            member.vm, member.peers, around.advisor, self._clock
+        )
+
+    async def run(self) -> str:
+        """Owns the cell until it is lost or released; returns the cause."""
+        group = curio.TaskGroup()
+        try:
+            await self._take_over()
+            for part in (
+                self._decide_loop,
+                self._write_loop,
+                self._registry_loop,
+            ):
+                await group.spawn(self._guard, part)
+            return await self._end.unwrap()
+        except Fenced as error:
+            return str(error)
+        finally:
+            for keeper in self._keepers.values():
+                await keeper.cancel(blocking=False)
+            await group.cancel_remaining()
+
+    async def lose(self, cause: str) -> None:
+        """Ends the ownership."""
+        if not self._end.is_set():
+            await self._end.set_value(cause)
+
+    async def release(self) -> None:
+        """Ends the ownership so that another entry VM may claim at once."""
+        self.released = True
+        await self.lose("released")
+
+    def silent_workers(self) -> list[str]:
+        """Returns workers that may run tasks although they do not answer."""
+        return [
+            vm
+            for vm, worker in self.state.worker_by_vm.items()
+            if worker.run_by_key and worker.silent_since is not None
+        ] + list(self.state.unread_until_by_vm)
+
+    async def jobs_changed(self, job_ids: list[JobId]) -> None:
+        """Takes new jobs and cancellations from the log."""
+        now = self._clock.now()
+        for job_id in job_ids:
+            self._take_job(job_id, now, inherited=False)
+        await self._work.set()
+
+    async def greeted(self, hello: MemberHello) -> None:
+        """Takes the hello of an entry VM and answers it."""
+        seat = SeatId(hello.vm)
+        await self._member.peers.connect(seat, hello.listen)
+        self._listen_by_member[hello.vm] = hello.listen
+        self.advising.member_seen(hello.vm, self._clock.now())
+        await self._member.peers.send(seat, OwnerBeat(self.epoch, 0))
+
+    async def _guard(self, part) -> None:
+        try:
+            await part()
+        except Fenced as error:
+            await self.lose(str(error))
+
+    async def _take_over(self) -> None:
+        """Fences the predecessor off and reads what it left."""
+        position = WriterPosition(PRODUCER, self.epoch, 0)
+        await self._until_answered(
+            lambda: self._log.set_epoch(PROGRESS_TOPIC, position)
+        )
+        await self._until_answered(self._member.read_progress)
+        await self._until_answered(self._read_registry)
+        now = self._clock.now()
+        latest = now + PREDECESSOR_S
+        latest += self._around.settings.longest_lease_s * (1 + CLOCK_RATE_ERROR)
+        for job_id in list(self._member.table.job_by_id):
+            self._take_job(job_id, now, inherited=True)
+        inherits = bool(self.state.job_by_id)
+        if inherits:
+            vms = {*self.state.worker_by_vm, *self._predecessor_silent}
+            self.state.unread_until_by_vm = {VmId(vm): latest for vm in vms}
+        for worker in self.state.worker_by_vm.values():
+            worker.assume_lease(latest)
+        await self._keep_workers()
+        self._around.journal.write(
+            events.CELL_READ,
+            epoch=self.epoch,
+            jobs=len(self.state.job_by_id),
+            workers=len(self.state.worker_by_vm),
+        )
+
+    async def _until_answered(self, call) -> None:
+        while True:
+            try:
+                await call()
+                return
+            except LogUnavailable:
+                await curio.sleep(RETRY_S)
+
+    def _take_job(self, job_id: JobId, now: float, inherited: bool) -> None:
+        known = self._member.table.job_by_id[job_id]
+        if known.record is None or known.progress.state.is_final:
+            return
+        if job_id not in self.state.job_by_id:
+            self.state.add_job(known.record, known.progress, now, inherited)
+        if known.cancelled:
+            self.state.cancel(job_id)
+
+    async def _decide_loop(self) -> None:
+        while True:
+            async with curio.ignore_after(DECIDE_S):
+                await self._work.wait()
+            await curio.sleep(GATHER_S)
+            self._work.clear()
+            now = self._clock.now()
+            self.state.expire(now)
+            for order in self._placer.decide(now):
+                await self._send(order)
+            self.state.forget_finished()
+            await self._flush()
+
+    async def _flush(self) -> None:
+        changes = self.state.changes
+        for event, fields in changes.notes:
+            self._around.journal.write(event, **fields)
+        changes.notes.clear()
+        if changes.fenced:
+            await self.lose("a worker has seen a higher epoch")
+        if changes.dirty:
+            await self._dirty.set()
+
+    async def _send(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
+        match order:
+            case StartOrder():
+                await curio.spawn(self._start, order, daemon=True)
+            case StopOrder():
+                await curio.spawn(self._stop, order, daemon=True)
+            case AdviceOrder():
+                await self.advising.ask(order, self._advised)
+
+    async def _start(self, order: StartOrder) -> None:
+        worker = self.state.worker_by_vm.get(order.vm)
+        now = self._clock.now()
+        until = worker.lease_end(now, self._lease) if worker else None
+        if until is None or self._end.is_set():
+            answer = OrderAnswer(OrderOutcome.NOT_SENT)
+        else:
+            answer = await self._around.orders.start(
+                worker.entry, order, self.epoch, until
+            )
+        self._around.metrics.count(f"starts.{answer.outcome.value}")
+        self.state.start_answered(order, answer, self._clock.now())
+        await self._work.set()
+
+    async def _stop(self, order: StopOrder) -> None:
+        worker = self.state.worker_by_vm.get(order.vm)
+        if worker is None or self._end.is_set():
+            return
+        answer = await self._around.orders.stop(worker.entry, order, self.epoch)
+        self._around.metrics.count(f"stops.{answer.outcome.value}")
+        self.state.stop_answered(order, answer, self._clock.now())
+        await self._work.set()
+
+    async def _advised(self, order: AdviceOrder, reply) -> None:
+        self.state.advice_answered(order.stage, order.vms, reply, self._clock.now())
+        await self._work.set()
+
+    async def _registry_loop(self) -> None:
+        while True:
+            await curio.sleep(REGISTRY_S)
+            try:
+                await self._read_registry()
+            except LogUnavailable:
+                continue
+            await self._keep_workers()
+            await self._work.set()
+
+    async def _read_registry(self) -> None:
+        topic = self._around.settings.registry_topic
+        try:
+            if self._registry_offset == 0:
+                raise PositionLost
+            batch = await self._log.read(topic, self._registry_offset)
+        except PositionLost:
+            batch = await self._log.newest(topic)
+            self._entry_by_vm.clear()
+        for record in batch.records:
+            entry = self._around.decode_worker(record) if record.value else None
+            if entry is None:
+                self._entry_by_vm.pop(VmId(record.key), None)
+            else:
+                self._entry_by_vm[entry.vm] = entry
+        self._registry_offset = batch.next_offset
+        self.state.update_registry(self._entry_by_vm, self._clock.now())
+
+    async def _keep_workers(self) -> None:
+        for vm in list(self._keepers):
+            if self._keepers[vm].terminated:
+                del self._keepers[vm]
+        for vm in self.state.worker_by_vm:
+            if vm not in self._keepers:
+                keeper = await curio.spawn(self._keep, vm, daemon=True)
+                self._keepers[vm] = keeper
+
+    async def _keep(self, vm: VmId) -> None:
+        """Renews a worker's lease and takes its reports while it is known."""
+        while not self._end.is_set():
+            worker = self.state.worker_by_vm.get(vm)
+            if worker is None:
+                return
+            sent_at = self._clock.now()
+            behind = worker.ended_counts > worker.acknowledged
+            wait = BUSY_WAIT_S if worker.run_by_key else IDLE_WAIT_S
+            if behind or not worker.clock_known() or worker.silent_since is not None:
+                wait = 0.0
+            until = worker.lease_end(sent_at, self._lease)
+            heard = await self._around.orders.renew(
+                worker.entry, self.epoch, worker.acknowledged, until, wait
+            )
+            await self._heard(vm, heard, sent_at)
+            if isinstance(heard, OrderAnswer):
+                await curio.sleep(RETRY_S)
+
+    async def _heard(
+        self, vm: VmId, heard: WorkerReport | OrderAnswer, sent_at: float
+    ) -> None:
+        now = self._clock.now()
+        match heard:
+            case WorkerReport():
+                highest = self.state.report(vm, heard, sent_at, now)
+                await self._work.set()
+                worker = self.state.worker_by_vm.get(vm)
+                if worker and highest > worker.acknowledged:
+                    await self._acknowledge(vm, highest)
+            case OrderAnswer(outcome=OrderOutcome.FENCED):
+                await self.lose("a worker has seen a higher epoch")
+            case OrderAnswer(outcome=OrderOutcome.WORKER_REPLACED):
+                self.state.worker_gone(vm)
+            case _:
+                worker = self.state.worker_by_vm.get(vm)
+                if worker:
+                    worker.unanswered(sent_at)
+
+    async def _acknowledge(self, vm: VmId, highest: int) -> None:
+        """Lets a worker forget ends once what they changed is stored."""
+        await self._flush()
+        needed = self._batch_started + (1 if self.state.changes.dirty else 0)
+        async with curio.ignore_after(BUSY_WAIT_S):
+            while self._batch_written < needed:
+                await self._written.wait()
+            worker = self.state.worker_by_vm.get(vm)
+            if worker:
+                worker.acknowledged = max(worker.acknowledged, highest)
+
+    async def _write_loop(self) -> None:
+        while True:
+            await self._dirty.wait()
+            self._dirty.clear()
+            dirty, self.state.changes.dirty = self.state.changes.dirty, set()
+            jobs = [self.state.job_by_id.get(job_id) for job_id in dirty]
+            items = [progress_item(job.id, job.progress()) for job in jobs if job]
+            self._batch_started += 1
+            if items:
+                await self._append(items)
+            self._batch_written = self._batch_started
+            written, self._written = self._written, curio.Event()
+            await written.set()
+
+    async def _append(self, items: list[tuple[str, bytes]]) -> None:
+        # The log answers a repeated sequence number with its first answer, so an
+        # append without an answer is repeated as it was.
+        position = WriterPosition(PRODUCER, self.epoch, next(self._sequence))
+        while True:
+            try:
+                offset = await self._log.append(PROGRESS_TOPIC, items, writer=position)
+                break
+            except LogUnavailable:
+                self._around.metrics.count("progress.log_unavailable")
+                await curio.sleep(RETRY_S)
+        records = [
+            KeyedRecord(offset + number, *item) for number, item in enumerate(items)
+        ]
+        self._member.apply_own_progress(records)
+        await self._relay(offset, items)
+
+    async def _relay(self, offset: int, items: list[tuple[str, bytes]]) -> None:
+        flat = [part for key, value in items for part in (key.encode(), value)]
+        message = ProgressRelay(offset, flat)
+        for vm in self._listen_by_member:
+            await self._member.peers.send(SeatId(vm), message)
--- /dev/null
+++ b/arbutusladder/cell/placement.py
@@ -0,0 +1,357 @@
+"""Where waiting tasks start, and for which steps advice is wanted."""
+
+from dataclasses import dataclass
+
+from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
+from arbutusladder.cell.ordering import is_urgent, order_key
+from arbutusladder.cell.stages import Stage
+from arbutusladder.cell.states import RunPhase
+from arbutusladder.cell.workers import Run, Worker
+from arbutusladder.ids import VmId
+from arbutusladder.messages import Resources
+from arbutusladder.resources import fits
+
+# Share of the cores that only urgent tasks may use.
+URGENT_RESERVE = 0.06
+# Gangs that may hold workers at the same time while they wait for room.
+MOST_HOLDING_GANGS = 2
+# Workers that one call for advice may name (PROTOCOL, advise).
+MOST_ADVISED = 100
+# Workers named when only tickets are renewed for tasks that start anywhere.
+RENEWED_WORKERS = 6
+# Seconds after which a call for advice is repeated beyond its expected duration.
+ADVICE_GRACE_S = 1.5
+# Seconds after which an unanswered stop order is repeated.
+STOP_RETRY_S = 0.5
+
+Order = StartOrder | StopOrder | AdviceOrder
+
+
+@dataclass
+class Round:
+    """What one round of decisions shares.
+
+    Attributes:
+        now: Monotonic time in seconds.
+        open_workers: Workers that may get tasks.
+        spare_cpu: Cores that tasks which are not urgent may still take.
+        held: Workers that wait for a gang to fit.
+        holding: Gangs that hold workers.
+    """
+
+    now: float
+    open_workers: list[Worker]
+    spare_cpu: float
+    held: set[VmId]
+    holding: int = 0
+
+
+class Placer:
+    """Decides starts, stops and calls for advice.
+
+    Args:
+        cell: Jobs and workers.
+    """
+
+    def __init__(self, cell: CellState):
+        self._cell = cell
+
+    def decide(self, now: float) -> list[Order]:
+        """Returns the orders to send now; room is taken for every start."""
+        orders: list[Order] = list(self._stops(now))
+        workers = [w for w in self._cell.worker_by_vm.values() if w.open(now)]
+        total = sum(worker.entry.capacity.cpu for worker in workers)
+        free = sum(worker.free.cpu for worker in workers)
+        spare = free - total * URGENT_RESERVE
+        this_round = Round(now, workers, spare, set())
+        for stage in self._waiting(now):
+            orders += self._place(stage, this_round)
+        return orders
+
+    def _waiting(self, now: float) -> list[Stage]:
+        found = []
+        blocked = bool(self._cell.unread_until_by_vm)
+        for job in self._cell.job_by_id.values():
+            if job.phase.is_final or (blocked and job.inherited):
+                continue
+            for stage in job.stage_by_key.values():
+                if stage.due_at <= now and stage.waiting() and job.ready(stage):
+                    found.append(stage)
+        return sorted(found, key=lambda stage: order_key(stage, now))
+
+    def _stops(self, now: float) -> list[StopOrder]:
+        orders = []
+        for worker in self._cell.worker_by_vm.values():
+            for run in worker.run_by_key.values():
+                if _stop_due(run, now):
+                    run.stop_sent_at = now
+                    orders.append(StopOrder(run.vm, run.task, run.number))
+        return orders
+
+    def _place(self, stage: Stage, this_round: Round) -> list[Order]:
+        now = this_round.now
+        asked_at = stage.advice.asked_at
+        if asked_at is not None:
+            if now < asked_at:
+                return []
+            stage.advice.asked_at = None
+        if stage.plan:
+            return self._carry_out_plan(stage, now)
+        if _needs_advice(stage) and not stage.advice.known:
+            return self._ask_about_all(stage, this_round)
+        candidates = self._candidates(stage, this_round)
+        if stage.spec.gang:
+            return self._place_gang(stage, candidates, this_round)
+        return self._place_tasks(stage, candidates, this_round)
+
+    def _candidates(self, stage: Stage, this_round: Round) -> list[Worker]:
+        urgent = is_urgent(stage)
+        return [
+            worker
+            for worker in this_round.open_workers
+            if _may_run(stage, worker)
+            and (urgent or worker.entry.vm not in this_round.held)
+            and fits(stage.spec.need, worker.free)
+        ]
+
+    def _place_tasks(
+        self, stage: Stage, candidates: list[Worker], this_round: Round
+    ) -> list[Order]:
+        now, need = this_round.now, stage.spec.need
+        limited = not is_urgent(stage)
+        orders: list[Order] = []
+        unticketed: dict[VmId, None] = {}
+        for index in stage.waiting():
+            if limited and need.cpu > this_round.spare_cpu:
+                break
+            worker = _best_worker(stage, candidates, now)
+            if worker is None:
+                break
+            vm = worker.entry.vm
+            ticket = stage.advice.ticket(vm, now)
+            if _needs_advice(stage) and ticket is None:
+                unticketed[vm] = None
+                break
+            orders.append(self._start(stage, index, worker, ticket or "", now))
+            if limited:
+                this_round.spare_cpu -= need.cpu
+        if unticketed:
+            ranked = sorted(candidates, key=lambda w: -w.free.cpu)[:RENEWED_WORKERS]
+            vms = [worker.entry.vm for worker in ranked]
+            orders.append(self._ask(stage, tuple(vms), now))
+        return orders
+
+    def _place_gang(
+        self, stage: Stage, candidates: list[Worker], this_round: Round
+    ) -> list[Order]:
+        now = this_round.now
+        chosen = choose_for_gang(stage, candidates, now)
+        need_cpu = stage.spec.need.cpu * len(stage.tasks)
+        if chosen is None or (not is_urgent(stage) and need_cpu > this_round.spare_cpu):
+            self._hold_for_gang(stage, this_round)
+            return []
+        if not is_urgent(stage):
+            this_round.spare_cpu -= need_cpu
+        if not _needs_advice(stage):
+            return self._start_gang(stage, chosen, now)
+        missing = {
+            w.entry.vm for w in chosen if not stage.advice.ticket(w.entry.vm, now)
+        }
+        if not missing:
+            return self._start_gang(stage, chosen, now)
+        for worker in chosen:
+            worker.reserve(stage.spec.need)
+        stage.plan = [(index, w.entry.vm) for index, w in enumerate(chosen)]
+        order = self._ask(stage, tuple(dict.fromkeys(w.entry.vm for w in chosen)), now)
+        return [order]
+
+    def _carry_out_plan(self, stage: Stage, now: float) -> list[Order]:
+        workers = self._cell.drop_plan(stage)
+        sound = all(
+            w and w.open(now) and fits(stage.spec.need, w.free) for w in workers
+        )
+        if not sound or not all(stage.advice.ticket(w.entry.vm, now) for w in workers):
+            return []
+        return self._start_gang(stage, workers, now)
+
+    def _start_gang(
+        self, stage: Stage, chosen: list[Worker], now: float
+    ) -> list[Order]:
+        number = stage.next_run(0)
+        saved = stage.gang_saved()
+        orders: list[Order] = []
+        for index, worker in enumerate(chosen):
+            ticket = stage.advice.ticket(worker.entry.vm, now) or ""
+            orders.append(self._start(stage, index, worker, ticket, now, number, saved))
+        return orders
+
+    def _start(
+        self,
+        stage: Stage,
+        index: int,
+        worker: Worker,
+        ticket: str,
+        now: float,
+        number: int | None = None,
+        saved: str | None = None,
+    ) -> StartOrder:
+        if number is None:
+            number = stage.next_run(index)
+        if saved is None:
+            saved = stage.tasks[index].saved
+        vm = worker.entry.vm
+        run = self._cell.attach_run(stage, index, number, vm, RunPhase.SENT, now)
+        if worker.on_trial:
+            worker.trial = run.task
+        return StartOrder(vm, run.task, number, stage.job.record.payload, saved, ticket)
+
+    def _hold_for_gang(self, stage: Stage, this_round: Round) -> None:
+        """Keeps workers free of less urgent tasks until the gang fits."""
+        if this_round.holding >= MOST_HOLDING_GANGS:
+            return
+        usable = [w for w in this_round.open_workers if _may_run(stage, w)]
+        if not could_ever_fit(stage, usable):
+            return
+        this_round.holding += 1
+        this_round.held.update(worker.entry.vm for worker in usable)
+
+    def _ask_about_all(self, stage: Stage, this_round: Round) -> list[Order]:
+        vms = [
+            worker.entry.vm
+            for worker in self._cell.worker_by_vm.values()
+            if worker.listed
+            and not worker.entry.draining
+            and _suits(stage, worker)
+            and fits(stage.spec.need, worker.entry.capacity)
+        ]
+        if not vms:
+            return []
+        return [self._ask(stage, tuple(vms[:MOST_ADVISED]), this_round.now)]
+
+    def _ask(self, stage: Stage, vms: tuple[VmId, ...], now: float) -> AdviceOrder:
+        queue = stage.job.record.queue
+        expected = queue.advice_s + queue.advice_each_s * len(vms)
+        stage.advice.asked_at = now + expected + ADVICE_GRACE_S
+        return AdviceOrder(stage.key, vms, expected, is_urgent(stage))
+
+
+def choose_for_gang(
+    stage: Stage, candidates: list[Worker], now: float
+) -> list[Worker] | None:
+    """Returns a worker for each member of a gang, or None if it does not fit.
+
+    Workers with a valid ticket come first, then those with the most room, so
+    that the gang touches few workers.
+    """
+    if stage.spec.one_rack:
+        return _choose_in_one_rack(stage, candidates, now)
+    return _choose(stage, candidates, now)
+
+
+def _choose_in_one_rack(
+    stage: Stage, candidates: list[Worker], now: float
+) -> list[Worker] | None:
+    by_rack: dict[str, list[Worker]] = {}
+    for worker in candidates:
+        by_rack.setdefault(worker.entry.rack, []).append(worker)
+    for workers in sorted(by_rack.values(), key=len):
+        chosen = _choose(stage, workers, now)
+        if chosen:
+            return chosen
+    return None
+
+
+def _choose(stage: Stage, candidates: list[Worker], now: float) -> list[Worker] | None:
+    wanted = len(stage.tasks)
+    chosen: list[Worker] = []
+    ranked = sorted(
+        candidates,
+        key=lambda worker: (
+            stage.advice.ticket(worker.entry.vm, now) is None,
+            _far(stage, worker),
+            -worker.free.cpu,
+        ),
+    )
+    for worker in ranked:
+        slots = _slots(stage, worker.free)
+        if worker.on_trial:
+            slots = min(slots, 1)
+        chosen += [worker] * min(slots, wanted - len(chosen))
+        if len(chosen) == wanted:
+            return chosen
+    return None
+
+
+def could_ever_fit(stage: Stage, workers: list[Worker]) -> bool:
+    """Returns whether a gang fits on workers that run nothing else."""
+    slots = sum(_slots(stage, worker.entry.capacity) for worker in workers)
+    return slots >= len(stage.tasks)
+
+
+def _slots(stage: Stage, room: Resources) -> int:
+    need = stage.spec.need
+    pairs = (
+        (room.cpu, need.cpu),
+        (room.memory_mb, need.memory_mb),
+        (room.accelerators, need.accelerators),
+    )
+    slots = min((int((have + 1e-6) // per) for have, per in pairs if per), default=1000)
+    limit = stage.spec.max_per_worker
+    return max(0, min(slots, limit) if limit else slots)
+
+
+def _best_worker(stage: Stage, candidates: list[Worker], now: float) -> Worker | None:
+    """Returns the worker for one task: near its data, with a ticket, full."""
+    best, best_key = None, None
+    for worker in candidates:
+        if not fits(stage.spec.need, worker.free) or _at_limit(stage, worker):
+            continue
+        if worker.trial is not None:
+            continue
+        vm = worker.entry.vm
+        no_ticket = _needs_advice(stage) and stage.advice.ticket(vm, now) is None
+        key = (_far(stage, worker), no_ticket, worker.free.cpu)
+        if best_key is None or key < best_key:
+            best, best_key = worker, key
+    return best
+
+
+def _at_limit(stage: Stage, worker: Worker) -> bool:
+    limit = stage.spec.max_per_worker
+    if not limit:
+        return False
+    present = sum(1 for run in worker.run_by_key.values() if run.stage == stage.key)
+    return present >= limit
+
+
+def _may_run(stage: Stage, worker: Worker) -> bool:
+    if not _suits(stage, worker):
+        return False
+    if not _needs_advice(stage):
+        return True
+    return worker.entry.vm in stage.advice.ticket_by_vm
+
+
+def _suits(stage: Stage, worker: Worker) -> bool:
+    label = stage.spec.required_label
+    return worker.entry.service == stage.job.record.queue.service and (
+        not label or label in worker.entry.labels
+    )
+
+
+def _far(stage: Stage, worker: Worker) -> bool:
+    near = stage.spec.near_rack
+    return bool(near) and near not in worker.entry.labels
+
+
+def _needs_advice(stage: Stage) -> bool:
+    return stage.job.record.queue.advice_s > 0
+
+
+def _stop_due(run: Run, now: float) -> bool:
+    if not run.stop_wanted or run.phase is RunPhase.SENT:
+        return False
+    if run.stop_answered_at is not None:
+        return False
+    return run.stop_sent_at is None or now - run.stop_sent_at >= STOP_RETRY_S
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -79,6 +79,14 @@
     "stream {stream}: position {offset} is no longer retained, rebuilding",
 )
 
+CELL_CLAIMED = Event(220, Level.INFO, "claimed the cell with epoch {epoch}")
+CELL_READ = Event(
+    221,
+    Level.INFO,
+    "took over with epoch {epoch}: {jobs} open jobs, {workers} workers",
+)
+CELL_LOST = Event(222, Level.WARNING, "gave up the cell with epoch {epoch}: {reason}")
+
 # 300 to 399: requests
 ENDPOINT_SUSPECT = Event(
     300,
@@ -118,6 +126,23 @@
     Level.INFO,
     "rebuilt shard {shard}: {jobs} jobs, {found} tasks found, {unread} workers unread",
 )
+CELL_JOB_ENDED = Event(460, Level.INFO, "job {job} ended: {state}")
+START_FAILED = Event(
+    461,
+    Level.INFO,
+    "run {run} of task {task} did not start on worker {worker}: {outcome}",
+)
+RUN_ENDED = Event(
+    462, Level.DEBUG, "run {run} of task {task} ended on worker {worker}: {how}"
+)
+RUN_STRAY = Event(
+    463,
+    Level.WARNING,
+    "stops run {run} of task {task} on worker {worker}, which no open job needs",
+)
+RUNS_LOST = Event(464, Level.WARNING, "lost {runs} runs on worker {worker}: {cause}")
+JOB_SUBMITTED = Event(465, Level.INFO, "job {job} of queue {queue}: {outcome}")
+JOB_CANCEL = Event(466, Level.INFO, "cancellation of job {job}: {outcome}")
 
 # 500 to 599: configuration
 CONFIG_APPLIED = Event(500, Level.INFO, "revision {revision} by {author} is in force")
@@ -127,6 +152,13 @@
     "change set by {author} was refused: {problem}",
     "fetch the current revision, merge and publish again",
 )
+CONFIG_IN_FORCE = Event(502, Level.INFO, "configuration version {version} is in force")
+CONFIG_UNREADABLE = Event(
+    503,
+    Level.ERROR,
+    "configuration cannot be read: {problem}",
+    "publish a configuration that follows the platform's page",
+)
 
 
 def all_events() -> list[Event]:
--- a/arbutusladder/httpserver.py
+++ b/arbutusladder/httpserver.py
@@ -42,6 +42,7 @@
         headers: Header fields without the ones of the transfer itself.
         body: Whole body.
         peer: Address of the client.
+        host: Value of the Host field.
     """
 
     method: str
@@ -51,6 +52,7 @@
     headers: list[Header] = field(default_factory=list)
     body: bytes = b""
     peer: str = ""
+    host: str = ""
 
     def header(self, name: str, default: str = "") -> str:
         """Returns the value of a header field."""
@@ -170,6 +172,7 @@
             ],
             body=body,
             peer=self._peer,
+            host=_host(head),
         )
 
     async def _read_body(self) -> bytes:
@@ -254,4 +257,11 @@
             self._protocol.receive_data(data)
 
 
+def _host(head: h11.Request) -> str:
+    for name, value in head.headers:
+        if name == b"host":
+            return value.decode("latin-1")
+    return ""
+
+
 HOP_HEADERS_BYTES = frozenset(name.encode() for name in HOP_HEADERS)
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -29,6 +29,7 @@
     VmKind,
     VmState,
 )
+from arbutusladder.cell.states import JobPhase
 
 
 @dataclass
@@ -42,6 +43,43 @@
     reason: str = ""
 
 
+@dataclass
+class AdviceCall:
+    """
+    The owner asks an entry VM to call for placement advice.
+    """
+
+    request_id: RequestId
+    stage: str
+    workers: list[str]
+    timeout_s: float
+
+
+@dataclass
+class AdviceReply:
+    """
+    Answer to a call for placement advice.
+    """
+
+    request_id: RequestId
+    answered: bool
+    """
+    Whether the advice service answered.
+    """
+    validity_s: float = 0.0
+    tickets: list[AdviceTicket] = field(default_factory=list)
+
+
+@dataclass
+class AdviceTicket:
+    """
+    Permission to start a step's tasks on a worker.
+    """
+
+    worker: VmId
+    ticket: str
+
+
 @dataclass
 class AppendRecords:
     """
@@ -70,6 +108,35 @@
     job_id: JobId
 
 
+@dataclass
+class CellClaim:
+    """
+    Log record by which an entry VM owns all workers of the cell.
+    """
+
+    epoch: Epoch
+    """
+    Fencing token of the owner's orders.
+    """
+    holder: VmId
+    address: str
+    """
+    Where other entry VMs reach the owner.
+    """
+    sequence: int
+    """
+    Rises with each renewal.
+    """
+    released: bool = False
+    """
+    Whether the owner gave up and others may claim at once.
+    """
+    silent_workers: list[str] = field(default_factory=list)
+    """
+    Workers that may still run tasks although they do not answer.
+    """
+
+
 @dataclass
 class ClaimRecord:
     """
@@ -326,6 +393,16 @@
     """
 
 
+@dataclass
+class JobProgress:
+    """
+    Log record of the state of a job; the newest record of a job counts.
+    """
+
+    state: JobPhase
+    stages: list[StageProgress] = field(default_factory=list)
+
+
 @dataclass
 class JobSpec:
     """
@@ -430,6 +507,19 @@
     body: str
 
 
+@dataclass
+class MemberHello:
+    """
+    An entry VM announces itself to the owner and asks for relayed records.
+    """
+
+    vm: VmId
+    listen: str
+    """
+    Address for answers.
+    """
+
+
 Messages: TypeAlias = Any
 """
 Messages between entry VMs, and between entry VMs and workers.
@@ -446,6 +536,35 @@
     body: str
 
 
+@dataclass
+class OwnerBeat:
+    """
+    The owner answers a hello.
+    """
+
+    epoch: Epoch
+    progress_end: int
+    """
+    End of the progress log as far as the owner appended.
+    """
+
+
+@dataclass
+class ProgressRelay:
+    """
+    Records that the owner has appended to the progress log.
+    """
+
+    offset: int
+    """
+    Offset of the first record.
+    """
+    records: list[bytes]
+    """
+    Key and value of each record in turn.
+    """
+
+
 @dataclass
 class QueryJob:
     """
@@ -457,6 +576,47 @@
     explain: bool = False
 
 
+@dataclass
+class QueueTerms:
+    """
+    What the configuration said of a queue when a job was accepted.
+    """
+
+    name: str
+    service: str
+    """
+    Service whose workers run the queue's tasks.
+    """
+    priority: int = 0
+    """
+    0 is the most urgent.
+    """
+    max_attempts: int = 1
+    """
+    Failed runs of a task after which its job has failed.
+    """
+    stretch: float = 1.0
+    """
+    Factor on the longest chain of work in the time objective.
+    """
+    objective_s: float = 0.0
+    """
+    Seconds added to the time objective.
+    """
+    advice_s: float = 0.0
+    """
+    Seconds that one call for placement advice takes; 0 for a queue without advice.
+    """
+    advice_each_s: float = 0.0
+    """
+    Further seconds for each worker that the call names.
+    """
+    advice_validity_s: float = 0.0
+    """
+    Seconds for which a ticket is valid.
+    """
+
+
 @dataclass
 class ReadResult:
     """
@@ -562,6 +722,36 @@
     queued_tasks: int = 0
 
 
+@dataclass
+class StageProgress:
+    """
+    How far one step of one occurrence is.
+    """
+
+    occurrence: int
+    step: int
+    done: list[int] = field(default_factory=list)
+    """
+    Tasks that ended successfully.
+    """
+    failures: list[int] = field(default_factory=list)
+    """
+    Failed runs by task; empty when there are none.
+    """
+    failed_runs: list[int] = field(default_factory=list)
+    """
+    Highest run number counted as failed by task; empty when there are none.
+    """
+    runs: list[int] = field(default_factory=list)
+    """
+    Highest run number by task; empty when there are none.
+    """
+    saved: list[str] = field(default_factory=list)
+    """
+    Newest saved point by task; empty when there are none.
+    """
+
+
 @dataclass
 class StartResult:
     """
@@ -590,6 +780,75 @@
     attempt: int = 1
 
 
+@dataclass
+class StepSpec:
+    """
+    One step of a job, which is a number of like tasks.
+    """
+
+    count: int
+    """
+    Number of tasks.
+    """
+    need: Resources
+    estimate_s: float = 0.0
+    """
+    Rough duration of a task in seconds.
+    """
+    after: list[int] = field(default_factory=list)
+    """
+    Earlier steps whose tasks must all be done first.
+    """
+    gang: bool = False
+    """
+    Whether the tasks only work all together.
+    """
+    one_rack: bool = False
+    """
+    Whether the tasks are slow on more than one rack.
+    """
+    checkpoints: bool = False
+    """
+    Whether a stopped task resumes from a saved point.
+    """
+    required_label: str = ""
+    """
+    Label that a worker must have.
+    """
+    near_rack: str = ""
+    """
+    Rack that holds the data.
+    """
+    max_per_worker: int = 0
+    """
+    Most tasks on one worker; 0 for no limit.
+    """
+    speculative: bool = False
+    """
+    Whether copies of a task may run side by side.
+    """
+    lasting: bool = False
+    """
+    Whether the tasks run until the job is cancelled.
+    """
+    fills: bool = False
+    """
+    Whether the tasks take only what others leave unused.
+    """
+    image: str = ""
+    """
+    Program of the tasks; tasks of one program behave alike.
+    """
+    target_s: float = 0.0
+    """
+    Largest tail response time of a serving task in seconds.
+    """
+    allow_miss: int = 0
+    """
+    Lasting tasks that may be away at once because of the system.
+    """
+
+
 @dataclass
 class SubmitAnswer:
     """
@@ -614,6 +873,37 @@
     job: JobSpec
 
 
+@dataclass
+class SubmittedJob:
+    """
+    Log record of an accepted job.
+    """
+
+    job_id: JobId
+    queue: QueueTerms
+    payload: str
+    """
+    Text that every task is started with.
+    """
+    steps: list[StepSpec]
+    accepted_at: float
+    """
+    Wall clock time of the submission in seconds.
+    """
+    times: int = 0
+    """
+    Occurrences of a scheduled job; 0 for a job that runs once.
+    """
+    first_at: float = 0.0
+    """
+    Wall clock time of the first occurrence in seconds.
+    """
+    interval_s: float = 0.0
+    """
+    Seconds between occurrences.
+    """
+
+
 @dataclass
 class TaskAction:
     """
--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -77,9 +77,10 @@
         self.address = self._inbound.getsockopt_string(zmq.LAST_ENDPOINT)[6:]
         self._queue_by_seat: dict[SeatId, curio.Queue] = {}
         self._outbound_by_seat: dict[SeatId, zmq.Socket] = {}
+        self._address_by_seat: dict[SeatId, str] = {}
+        self._sender_by_seat: dict[SeatId, curio.Task] = {}
         for peer, address in address_by_seat.items():
-            self._queue_by_seat[peer] = curio.Queue(maxsize=SEND_QUEUE_LENGTH)
-            self._outbound_by_seat[peer] = _connect(self._context, address)
+            self._add(peer, address)
         self._reply_by_id: dict[RequestId, curio.Result] = {}
         self._abandonable_by_seat: dict[SeatId, dict[RequestId, curio.Result]] = {}
 
@@ -93,6 +94,27 @@
         finally:
             self._close()
 
+    async def connect(self, seat: SeatId, address: str) -> None:
+        """Adds a peer, or moves it to another address.
+
+        Messages that wait for the old address are dropped.
+        """
+        if self._address_by_seat.get(seat) == address:
+            return
+        await self.disconnect(seat)
+        self._add(seat, address)
+        sender = await curio.spawn(self._send_to, seat, daemon=True)
+        self._sender_by_seat[seat] = sender
+
+    async def disconnect(self, seat: SeatId) -> None:
+        """Removes a peer that was added by `connect`."""
+        sender = self._sender_by_seat.pop(seat, None)
+        if sender is None:
+            return
+        await sender.cancel()
+        self._outbound_by_seat.pop(seat).close(linger=0)
+        del self._queue_by_seat[seat], self._address_by_seat[seat]
+
     async def send(self, seat: SeatId, message: Any) -> bool:
         """Queues a message.
 
@@ -181,6 +203,11 @@
                 continue
             await self._receiver(received)
 
+    def _add(self, peer: SeatId, address: str) -> None:
+        self._address_by_seat[peer] = address
+        self._queue_by_seat[peer] = curio.Queue(maxsize=SEND_QUEUE_LENGTH)
+        self._outbound_by_seat[peer] = _connect(self._context, address)
+
     def _decode(self, data: bytes) -> Received:
         sender, sent_at, message = codec.unpack_envelope(data)
         age = max(0.0, self._clock.wall() - sent_at)
--- /dev/null
+++ b/arbutusladder/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its messages and calls."""
--- /dev/null
+++ b/arbutusladder/platform/__main__.py
@@ -0,0 +1,175 @@
+"""Entry VM on the users' platform."""
+
+import signal
+import sys
+
+import curio
+import msgspec
+
+from arbutusladder import events
+from arbutusladder.cell.interfaces import KeyedRecord, PositionLost
+from arbutusladder.cell.member import CellSettings, Member, Surroundings
+from arbutusladder.clock import Clock
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.httpclient import HttpAnswer
+from arbutusladder.httppool import HttpPool
+from arbutusladder.httpserver import HttpRequest, HttpServer
+from arbutusladder.ids import VmId
+from arbutusladder.journal import Journal, configure
+from arbutusladder.metrics import Metrics
+from arbutusladder.platform.advice import PlatformAdvisor
+from arbutusladder.platform.boot import Boot, load_boot
+from arbutusladder.platform.front import Front
+from arbutusladder.platform.routes import (
+    CONFIG_KEY,
+    CONFIG_TOPIC,
+    RouteTable,
+    decode_config,
+)
+from arbutusladder.platform.store import PlatformLog
+from arbutusladder.platform.workers import (
+    REGISTRY_TOPIC,
+    PlatformOrders,
+    decode_registry,
+)
+from arbutusladder.tasks import spawn_logged
+
+# Seconds for which a read of the configuration waits for a change.
+CONFIG_WAIT_S = 5.0
+RETRY_S = 0.2
+# Seconds after SIGTERM during which new connections are still answered: the
+# balancer looks once a second and acts on two misses (PROTOCOL, ingress).
+NOTICE_S = 3.0
+STOP_POLL_S = 0.05
+MAX_BODY_BYTES = 1024 * 1024
+
+
+class Entry:
+    """The daemon of one entry VM.
+
+    Args:
+        boot: Its settings.
+    """
+
+    def __init__(self, boot: Boot):
+        self._boot = boot
+        self._clock = Clock()
+        self._journal = Journal(boot.vm)
+        self._metrics = Metrics()
+        pool = HttpPool(self._clock)
+        self._log = PlatformLog(boot.store, pool)
+        surroundings = Surroundings(
+            log=self._log,
+            orders=PlatformOrders(pool),
+            advisor=PlatformAdvisor(boot.advice, pool),
+            decode_worker=decode_registry,
+            clock=self._clock,
+            journal=self._journal,
+            metrics=self._metrics,
+            settings=CellSettings(REGISTRY_TOPIC, boot.longest_lease_s),
+        )
+        self._member = Member(VmId(boot.vm), boot.peer, surroundings)
+        self._routes: RouteTable | None = None
+        self._stop = False
+        self._config_offset = 0
+        front = Front(
+            self._member,
+            lambda: self._routes,
+            self._clock,
+            self._journal,
+            self._metrics,
+        )
+        self._front = HttpServer(
+            boot.front, front.handle, max_body=MAX_BODY_BYTES, on_error=self._failed
+        )
+        self._ready = HttpServer(boot.ready, self._readiness, on_error=self._failed)
+
+    def ask_to_stop(self) -> None:
+        """Begins a graceful shutdown."""
+        self._stop = True
+
+    async def run(self) -> None:
+        """Serves until asked to stop."""
+        self._journal.write(events.ENTRY_STARTED, vm=self._boot.vm, seat=self._boot.vm)
+        for name, part in (
+            ("member", self._member.run),
+            ("front", self._front.run),
+            ("ready", self._ready.run),
+            ("configuration", self._follow_config),
+        ):
+            await spawn_logged(self._journal, name, part)
+        while not self._stop:
+            await curio.sleep(STOP_POLL_S)
+        await self._shut_down()
+
+    async def _shut_down(self) -> None:
+        self._journal.write(events.ENTRY_DRAINING, vm=self._boot.vm)
+        self._front.closing = True
+        await self._member.stop()
+        until = self._clock.now() + NOTICE_S
+        latest = self._clock.now() + self._boot.grace_s - 1.0
+        while self._clock.now() < until or (
+            self._front.open_requests and self._clock.now() < latest
+        ):
+            await curio.sleep(STOP_POLL_S)
+        self._journal.write(
+            events.ENTRY_STOPPED,
+            vm=self._boot.vm,
+            open_requests=self._front.open_requests,
+        )
+
+    async def _readiness(self, request: HttpRequest) -> HttpAnswer:
+        healthy = self._member.healthy(self._clock.now())
+        ready = self._routes is not None and healthy and not self._stop
+        return HttpAnswer(200 if ready else 503)
+
+    async def _follow_config(self) -> None:
+        while True:
+            try:
+                await self._read_config()
+            except LogUnavailable:
+                await curio.sleep(RETRY_S)
+
+    async def _read_config(self) -> None:
+        try:
+            if self._routes is None:
+                raise PositionLost
+            batch = await self._log.read(
+                CONFIG_TOPIC, self._config_offset, CONFIG_WAIT_S
+            )
+        except PositionLost:
+            batch = await self._log.newest(CONFIG_TOPIC)
+        for record in batch.records:
+            if record.key == CONFIG_KEY and record.value:
+                self._take_config(record)
+        self._config_offset = batch.next_offset
+        if self._routes is None:
+            await curio.sleep(RETRY_S)
+
+    def _take_config(self, record: KeyedRecord) -> None:
+        try:
+            table = decode_config(record.value)
+        except msgspec.MsgspecError as error:
+            self._journal.write(events.CONFIG_UNREADABLE, problem=str(error))
+            return
+        if self._routes is None or table.version > self._routes.version:
+            self._routes = table
+            self._journal.write(events.CONFIG_IN_FORCE, version=table.version)
+
+    def _failed(self, error: Exception) -> None:
+        self._journal.write(events.TASK_FAILED, task="request", error=repr(error))
+
+
+def main() -> None:
+    """Runs the daemon."""
+    configure("info", sys.stdout)
+    entry = Entry(load_boot())
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: entry.ask_to_stop())
+    # The settings that a running process uses do not change with a reload.
+    signal.signal(signal.SIGHUP, lambda *_: None)
+    curio.run(entry.run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/arbutusladder/platform/advice.py
@@ -0,0 +1,46 @@
+"""Client of the platform's placement advice."""
+
+import msgspec
+
+from arbutusladder.errors import HttpError
+from arbutusladder.httppool import HttpPool
+from arbutusladder.ids import RequestId, VmId
+from arbutusladder.messages import AdviceReply, AdviceTicket
+from arbutusladder.platform.workers import JSON_HEADER
+
+
+class _Advice(msgspec.Struct, rename="kebab"):
+    """``good`` holds rows of executor and ticket."""
+
+    good: list[tuple[str, str]]
+    validity_ms: float = 0.0
+
+
+class PlatformAdvisor:
+    """Asks which executors may run a step.
+
+    Args:
+        address: Address of the service; empty where there is none.
+        pool: Connections.
+    """
+
+    def __init__(self, address: str, pool: HttpPool):
+        self._address = address
+        self._pool = pool
+
+    async def advise(
+        self, request_id: str, stage: str, workers: list[str], timeout: float
+    ) -> AdviceReply:
+        """See `arbutusladder.cell.interfaces.Advisor.advise`."""
+        body = msgspec.json.encode({"step": stage, "workers": workers})
+        try:
+            answer = await self._pool.request(
+                self._address, "POST", "/v1/advise", [JSON_HEADER], body, timeout
+            )
+            said = msgspec.json.decode(answer.body, type=_Advice)
+        except (HttpError, msgspec.MsgspecError):
+            return AdviceReply(RequestId(request_id), False)
+        tickets = [AdviceTicket(VmId(vm), ticket) for vm, ticket in said.good]
+        return AdviceReply(
+            RequestId(request_id), True, said.validity_ms / 1000, tickets
+        )
--- /dev/null
+++ b/arbutusladder/platform/front.py
@@ -0,0 +1,148 @@
+"""What clients of the platform ask: jobs, their states and queue lengths."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+
+import msgspec
+
+from arbutusladder import events
+from arbutusladder.cell.member import Member
+from arbutusladder.cell.states import Submission
+from arbutusladder.clock import Clock
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.httpclient import HttpAnswer
+from arbutusladder.httpserver import HttpRequest
+from arbutusladder.ids import JobId
+from arbutusladder.journal import Journal
+from arbutusladder.messages import Header
+from arbutusladder.metrics import Metrics
+from arbutusladder.platform.jobbody import JOB_ID, decode_job
+from arbutusladder.platform.routes import Queue, RouteTable
+from arbutusladder.platform.workers import JSON_HEADER
+
+DEADLINE_HEADER = "X-Arbutusladder-Request-Deadline-Ms"
+# Seconds kept of a client's wait for the way of the answer.
+ANSWER_MARGIN_S = 0.25
+# Seconds after which a refused job may be handed in again: the log answers calls
+# in milliseconds and its state is looked at several times a second.
+RETRY_AFTER_S = 1
+
+
+class Front:
+    """Answers clients.
+
+    Args:
+        member: This entry VM.
+        routes: Returns the configuration in force, or None before the first.
+        clock: Clocks.
+        journal: Event log.
+        metrics: Counters.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        routes: Callable[[], RouteTable | None],
+        clock: Clock,
+        journal: Journal,
+        metrics: Metrics,
+    ):
+        self._member = member
+        self._routes = routes
+        self._clock = clock
+        self._journal = journal
+        self._metrics = metrics
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answers one request."""
+        table = self._routes()
+        if table is None:
+            return self._refuse("no_configuration")
+        queue = table.find(request.host, request.path)
+        if queue is None:
+            return _answer(HTTPStatus.NOT_FOUND, {"error": "no such queue"})
+        name = request.path[len(queue.prefix) :]
+        if not name and request.method == "GET":
+            pending = self._member.table.waiting(queue.terms.name)
+            return _answer(HTTPStatus.OK, {"pending": pending})
+        if not JOB_ID.fullmatch(name):
+            return _answer(HTTPStatus.NOT_FOUND, {"error": "an ID has 16 hex digits"})
+        job_id = JobId(name)
+        deadline = self._deadline(request, queue)
+        match request.method:
+            case "POST":
+                return await self._submit(request, queue, job_id, deadline)
+            case "GET":
+                return await self._state(job_id)
+            case "DELETE":
+                return await self._cancel(job_id, deadline)
+            case _:
+                return _answer(HTTPStatus.METHOD_NOT_ALLOWED, {"error": "use POST"})
+
+    async def _submit(
+        self, request: HttpRequest, queue: Queue, job_id: JobId, deadline: float
+    ) -> HttpAnswer:
+        try:
+            record = decode_job(job_id, request.body, queue.terms, self._clock.wall())
+        except msgspec.MsgspecError as error:
+            return _answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
+        outcome = await self._member.submit(record, deadline)
+        self._journal.write(
+            events.JOB_SUBMITTED,
+            job=job_id,
+            queue=queue.terms.name,
+            outcome=outcome.value,
+        )
+        return self._stored(outcome)
+
+    async def _state(self, job_id: JobId) -> HttpAnswer:
+        try:
+            phase = await self._member.lookup(job_id)
+        except LogUnavailable:
+            return self._refuse("log_unavailable")
+        if phase is None:
+            return _answer(HTTPStatus.GONE, {"error": "no such job"})
+        return _answer(HTTPStatus.OK, {"state": phase.value})
+
+    async def _cancel(self, job_id: JobId, deadline: float) -> HttpAnswer:
+        try:
+            outcome = await self._member.cancel(job_id, deadline)
+        except LogUnavailable:
+            return self._refuse("log_unavailable")
+        if outcome is None:
+            return _answer(HTTPStatus.GONE, {"error": "no such job"})
+        self._journal.write(events.JOB_CANCEL, job=job_id, outcome=outcome.value)
+        return self._stored(outcome)
+
+    def _stored(self, outcome: Submission) -> HttpAnswer:
+        self._metrics.count(f"submissions.{outcome.value}")
+        match outcome:
+            case Submission.ACCEPTED:
+                return _answer(HTTPStatus.OK, {})
+            case Submission.NOT_STORED:
+                return self._refuse("not_stored")
+            case Submission.UNKNOWN:
+                return _answer(HTTPStatus.GATEWAY_TIMEOUT, {"error": "unknown"})
+
+    def _refuse(self, reason: str) -> HttpAnswer:
+        self._metrics.count(f"refused.{reason}")
+        return _answer(
+            HTTPStatus.SERVICE_UNAVAILABLE,
+            {"error": reason},
+            [Header("Retry-After", str(RETRY_AFTER_S))],
+        )
+
+    def _deadline(self, request: HttpRequest, queue: Queue) -> float:
+        wait = queue.timeout_s
+        text = request.header(DEADLINE_HEADER)
+        if text.isdigit():
+            wait = min(wait, int(text) / 1000)
+        return self._clock.now() + max(0.0, wait - ANSWER_MARGIN_S)
+
+
+def _answer(
+    status: HTTPStatus, body: dict, headers: list[Header] | None = None
+) -> HttpAnswer:
+    return HttpAnswer(
+        int(status), [JSON_HEADER, *(headers or [])], msgspec.json.encode(body)
+    )
--- /dev/null
+++ b/arbutusladder/platform/jobbody.py
@@ -0,0 +1,102 @@
+"""Decodes the body with which a client hands a job in."""
+
+import re
+
+import msgspec
+
+from arbutusladder.ids import JobId
+from arbutusladder.messages import QueueTerms, Resources, StepSpec, SubmittedJob
+
+JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
+
+
+class _Step(msgspec.Struct, rename="kebab"):
+    """A step; fields that are 0, false or empty are left out.
+
+    ``fills`` tasks take no ``cpu`` of their own, ``same-rack`` is a preference
+    with a price, ``max-per-server`` counts tasks on one executor.
+    """
+
+    count: int = 1
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: float = 0.0
+    after: list[int] = []
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    max_per_server: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: float = 0.0
+    fills: bool = False
+    allow_miss: int = 0
+
+
+class _Job(msgspec.Struct, rename="kebab"):
+    """A job; ``first-ms`` is a time of day in milliseconds since 1970."""
+
+    steps: list[_Step]
+    spec: str = ""
+    times: int = 0
+    first_ms: float = 0.0
+    interval_ms: float = 0.0
+
+
+def decode_job(
+    job_id: JobId, body: bytes, terms: QueueTerms, wall: float
+) -> SubmittedJob:
+    """Decodes a job.
+
+    Args:
+        job_id: Id that the client chose.
+        body: JSON.
+        terms: Queue that it goes to.
+        wall: Wall clock time in seconds.
+
+    Raises:
+        msgspec.MsgspecError: The body is no job.
+    """
+    job = msgspec.json.decode(body, type=_Job)
+    if not job.steps:
+        raise msgspec.ValidationError("a job needs at least one step")
+    for number, step in enumerate(job.steps):
+        if step.count < 1 or any(not 0 <= i < number for i in step.after):
+            raise msgspec.ValidationError(
+                f"step {number}: count is at least 1 and after names earlier steps"
+            )
+    return SubmittedJob(
+        job_id=job_id,
+        queue=terms,
+        payload=job.spec,
+        steps=[_step(step) for step in job.steps],
+        accepted_at=wall,
+        times=job.times,
+        first_at=job.first_ms / 1000,
+        interval_s=job.interval_ms / 1000,
+    )
+
+
+def _step(step: _Step) -> StepSpec:
+    return StepSpec(
+        count=step.count,
+        need=Resources(step.cpu / 1000, step.mem_mb, step.gpu),
+        estimate_s=step.estimate_ms / 1000,
+        after=step.after,
+        gang=step.gang,
+        one_rack=step.same_rack,
+        checkpoints=step.checkpoints,
+        required_label=step.requires,
+        near_rack=step.affinity,
+        max_per_worker=step.max_per_server,
+        speculative=step.speculative,
+        lasting=step.long_running,
+        fills=step.fills,
+        image=step.image,
+        target_s=step.target_ms / 1000,
+        allow_miss=step.allow_miss,
+    )
--- /dev/null
+++ b/arbutusladder/platform/workers.py
@@ -0,0 +1,194 @@
+"""Orders to the platform's executors, which run tasks, and their registry."""
+
+from http import HTTPStatus
+
+import msgspec
+
+from arbutusladder.cell.interfaces import (
+    EndedTask,
+    KeyedRecord,
+    OrderAnswer,
+    RunningTask,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+    WorkerReport,
+)
+from arbutusladder.cell.states import EndKind, OrderOutcome
+from arbutusladder.errors import HttpError
+from arbutusladder.httppool import HttpPool
+from arbutusladder.ids import Epoch, VmId
+from arbutusladder.messages import Header, Resources
+
+ORDER_TIMEOUT_S = 0.9
+RENEW_TIMEOUT_S = 0.9
+INSTANCE_HEADER = "X-Arbutusladder-Target-Instance"
+JSON_HEADER = Header("Content-Type", "application/json")
+REGISTRY_TOPIC = "keyed.servers"
+
+OUTCOME_BY_REASON = {
+    "fence": OrderOutcome.FENCED,
+    "old": OrderOutcome.OLD_RUN,
+    "late": OrderOutcome.TOO_LATE,
+    "room": OrderOutcome.NO_ROOM,
+    "ticket": OrderOutcome.TICKET_INVALID,
+}
+OUTCOME_BY_STATUS = {
+    HTTPStatus.OK: OrderOutcome.ACCEPTED,
+    HTTPStatus.BAD_REQUEST: OrderOutcome.MALFORMED,
+    HTTPStatus.MISDIRECTED_REQUEST: OrderOutcome.WORKER_REPLACED,
+    HTTPStatus.TOO_MANY_REQUESTS: OrderOutcome.UNHEALTHY,
+    HTTPStatus.SERVICE_UNAVAILABLE: OrderOutcome.UNHEALTHY,
+}
+
+
+class _Room(msgspec.Struct, rename="kebab"):
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+
+class _Server(msgspec.Struct, rename="kebab"):
+    """An executor's entry; ``state`` is ready or draining."""
+
+    service: str
+    address: str
+    state: str
+    capacity: _Room
+    zone: str = ""
+    labels: list[str] = []
+    born: int = 0
+
+
+class _Reply(msgspec.Struct, rename="kebab"):
+    """Answer of an executor; ``clock-ms`` is its own steady clock."""
+
+    clock_ms: float | None = None
+    reason: str = ""
+    born: int = 0
+    running: list[list] = []
+    ended: list[list] = []
+
+
+def decode_registry(record: KeyedRecord) -> WorkerEntry | None:
+    """Returns a worker's entry, or None if it cannot be used.
+
+    Another writer may have written it: fields may lack or be of another type.
+    """
+    try:
+        entry = msgspec.json.decode(record.value, type=_Server)
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        return None
+    if entry.state not in {"ready", "draining"} or ":" not in entry.address:
+        return None
+    return WorkerEntry(
+        vm=VmId(record.key),
+        born=entry.born,
+        address=entry.address,
+        service=entry.service,
+        failure_domain=entry.zone,
+        capacity=Resources(
+            entry.capacity.cpu / 1000, entry.capacity.mem_mb, entry.capacity.gpu
+        ),
+        labels=tuple(entry.labels),
+        draining=entry.state == "draining",
+    )
+
+
+class PlatformOrders:
+    """Sends orders to executors.
+
+    Args:
+        pool: Connections.
+    """
+
+    def __init__(self, pool: HttpPool):
+        self._pool = pool
+
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder, epoch: Epoch, until: float
+    ) -> OrderAnswer:
+        """See `arbutusladder.cell.interfaces.WorkerOrders.start`."""
+        body: dict[str, object] = {
+            "task": order.task,
+            "run": order.run,
+            "spec": order.payload,
+            "deadline-ms": int(until * 1000),
+            "fence": epoch,
+        }
+        if order.saved:
+            body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return await self._order(worker, "/v1/run-start", body)
+
+    async def stop(
+        self, worker: WorkerEntry, order: StopOrder, epoch: Epoch
+    ) -> OrderAnswer:
+        """See `arbutusladder.cell.interfaces.WorkerOrders.stop`."""
+        body = {"task": order.task, "run": order.run, "fence": epoch}
+        return await self._order(worker, "/v1/run-stop", body)
+
+    async def renew(
+        self,
+        worker: WorkerEntry,
+        epoch: Epoch,
+        acknowledged: int,
+        until: float | None,
+        wait: float,
+    ) -> WorkerReport | OrderAnswer:
+        """See `arbutusladder.cell.interfaces.WorkerOrders.renew`."""
+        body: dict[str, object] = {"fence": epoch, "observed": acknowledged}
+        if until is not None:
+            body["deadline-ms"] = int(until * 1000)
+        if wait:
+            body["wait-ms"] = int(wait * 1000)
+        try:
+            status, reply = await self._call(
+                worker, "/v1/hold", body, wait + RENEW_TIMEOUT_S
+            )
+        except HttpError as error:
+            return OrderAnswer(_failure(error))
+        if status != HTTPStatus.OK or reply.clock_ms is None:
+            return _answer(status, reply)
+        return WorkerReport(
+            born=reply.born,
+            clock=reply.clock_ms / 1000,
+            running=[RunningTask(*row[:4]) for row in reply.running],
+            ended=[
+                EndedTask(number, task, run, EndKind(how), saved)
+                for number, task, run, how, saved in (row[:5] for row in reply.ended)
+            ],
+        )
+
+    async def _order(self, worker: WorkerEntry, path: str, body: dict) -> OrderAnswer:
+        try:
+            status, reply = await self._call(worker, path, body, ORDER_TIMEOUT_S)
+        except HttpError as error:
+            return OrderAnswer(_failure(error))
+        return _answer(status, reply)
+
+    async def _call(
+        self, worker: WorkerEntry, path: str, body: dict, timeout: float
+    ) -> tuple[int, _Reply]:
+        headers = [JSON_HEADER, Header(INSTANCE_HEADER, worker.vm)]
+        answer = await self._pool.request(
+            worker.address, "POST", path, headers, msgspec.json.encode(body), timeout
+        )
+        try:
+            return answer.status, msgspec.json.decode(answer.body, type=_Reply)
+        except msgspec.MsgspecError:
+            return answer.status, _Reply()
+
+
+def _failure(error: HttpError) -> OrderOutcome:
+    return OrderOutcome.UNKNOWN if error.sent else OrderOutcome.NOT_SENT
+
+
+def _answer(status: int, reply: _Reply) -> OrderAnswer:
+    clock = None if reply.clock_ms is None else reply.clock_ms / 1000
+    if status == HTTPStatus.CONFLICT:
+        outcome = OUTCOME_BY_REASON.get(reply.reason, OrderOutcome.MALFORMED)
+    else:
+        outcome = OUTCOME_BY_STATUS.get(status, OrderOutcome.UNKNOWN)
+    return OrderAnswer(outcome, clock)
