--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -1,5 +1,6 @@
 """State of a cell in its owner: jobs, workers and what was heard of them."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from arbutusladder import events
@@ -62,9 +63,11 @@
 
     Args:
         wall_offset: Wall clock time less monotonic time in seconds.
+        need_of: Returns what a task of a job that is over needs, by its name.
     """
 
-    def __init__(self, wall_offset: float):
+    def __init__(self, wall_offset: float, need_of: Callable[[str], Resources]):
+        self._need_of = need_of
         self._wall_offset = wall_offset
         self.job_by_id: dict[JobId, Job] = {}
         self.worker_by_vm: dict[VmId, Worker] = {}
@@ -415,7 +418,7 @@
             if len(others) > 1 and not stage.spec.speculative:
                 run.stop_wanted = True
             return run
-        need = stage.spec.need if known else Resources()
+        need = stage.spec.need if known else self._need_of(row.task)
         run = Run(
             row.task,
             row.run,
@@ -467,11 +470,10 @@
     def _task_failed(self, stage: Stage, index: int, number: int) -> None:
         # Members of a gang fail together, which counts once.
         task = stage.tasks[0 if stage.spec.gang else index]
-        if number > task.failed_run or stage.spec.speculative:
-            task.failed_run = max(number, task.failed_run)
-            task.failures += 1
+        task.failed_runs.add(number)
+        failures = len(task.failed_runs)
         most = stage.job.record.queue.max_attempts
-        if task.failures >= most and not stage.spec.lasting and not task.done:
+        if failures >= most and not stage.spec.lasting and not task.done:
             self._finish(stage.job, JobPhase.FAILED)
         elif stage.spec.gang:
             self._stop_runs(stage)
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -7,7 +7,7 @@
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.ids import JobId
-from arbutusladder.messages import JobProgress, SubmittedJob
+from arbutusladder.messages import JobProgress, Resources, StepSpec, SubmittedJob
 
 # Keyed topics: submissions and cancellations by all entry VMs, progress by the owner.
 JOBS_TOPIC = "keyed.jobs"
@@ -113,6 +113,22 @@
             return None
         return job.phase
 
+    def knows_tasks(self, tasks: list[str]) -> bool:
+        """Returns whether the submissions of all tasks, by name, were read."""
+        return all(self._step_of(task) is not None for task in tasks)
+
+    def need_of(self, task: str) -> Resources:
+        """Returns what a task needs, by its name; nothing for an unknown one."""
+        step = self._step_of(task)
+        return step.need if step else Resources()
+
+    def _step_of(self, task: str) -> StepSpec | None:
+        job_id, _occurrence, step, _index = task.split(".")
+        job = self.job_by_id.get(JobId(job_id))
+        if job is None or job.record is None:
+            return None
+        return job.record.steps[int(step)]
+
     def waiting(self, queue: str) -> int:
         """Returns the number of a queue's jobs of which no task has started."""
         return len(self._waiting_ids_by_queue.get(queue, ()))
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -52,8 +52,9 @@
 FOLLOW_JOBS_S = 1.0
 # Seconds between reads of the progress topic, which the owner also relays.
 FOLLOW_PROGRESS_S = 1.0
-# Seconds for which the owner's read waits for the next job.
-OWNER_WAIT_S = 5.0
+# Seconds for which the owner's read waits for the next job; a silent connection is
+# noticed after it.
+OWNER_WAIT_S = 1.0
 WATCH_CLAIM_S = 0.4
 HELLO_S = 0.5
 RETRY_S = 0.2
@@ -164,7 +165,7 @@
         """
         phase = self.table.phase(job_id)
         if phase is None:
-            await self._read_jobs(0.0)
+            await self.read_jobs()
             phase = self.table.phase(job_id)
         return phase
 
@@ -192,7 +193,7 @@
         while True:
             owns = self._owner is not None
             try:
-                await self._read_jobs(OWNER_WAIT_S if owns else 0.0)
+                await self.read_jobs(OWNER_WAIT_S if owns else 0.0)
             except LogUnavailable:
                 await curio.sleep(RETRY_S)
                 continue
@@ -204,7 +205,12 @@
         while self._owner is None and self._clock.now() < until:
             await curio.sleep(RETRY_S)
 
-    async def _read_jobs(self, wait: float) -> None:
+    async def read_jobs(self, wait: float = 0.0) -> None:
+        """Reads the jobs topic to its end.
+
+        Args:
+            wait: Seconds to wait for the first record.
+        """
         while True:
             try:
                 batch = await self._log.read(JOBS_TOPIC, self._jobs_offset, wait)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -69,7 +69,7 @@
         self._clock = around.clock
         self._log = around.log
         now = self._clock.now()
-        self.state = CellState(self._clock.wall() - now)
+        self.state = CellState(self._clock.wall() - now, member.table.need_of)
         self._placer = Placer(self.state)
         self._predecessor_silent = claim.silent_workers
         self._lease = min(LEASE_S, around.settings.longest_lease_s)
@@ -153,6 +153,7 @@
             lambda: self._log.set_epoch(PROGRESS_TOPIC, position)
         )
         await self._until_answered(self._member.read_progress)
+        await self._until_answered(self._member.read_jobs)
         await self._until_answered(self._read_registry)
         now = self._clock.now()
         latest = now + PREDECESSOR_S
@@ -308,6 +309,8 @@
     async def _heard(
         self, vm: VmId, heard: WorkerReport | OrderAnswer, sent_at: float
     ) -> None:
+        if isinstance(heard, WorkerReport):
+            await self._learn_jobs(heard)
         now = self._clock.now()
         match heard:
             case WorkerReport():
@@ -325,6 +328,16 @@
                 if worker:
                     worker.unanswered(sent_at)
 
+    async def _learn_jobs(self, report: WorkerReport) -> None:
+        """Reads the jobs that a predecessor started and this owner has not read.
+
+        Without them the report's ends would be forgotten, and its running tasks
+        would count as needing nothing.
+        """
+        tasks = [row.task for row in (*report.running, *report.ended)]
+        if not self._member.table.knows_tasks(tasks):
+            await self._until_answered(self._member.read_jobs)
+
     async def _acknowledge(self, vm: VmId, highest: int) -> None:
         """Lets a worker forget ends once what they changed is stored."""
         await self._flush()
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -6,6 +6,7 @@
 from arbutusladder.cell.workers import Run
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import (
+    FailedRun,
     JobProgress,
     StageProgress,
     StepSpec,
@@ -24,16 +25,14 @@
 
     Attributes:
         done: Whether a run of it ended successfully.
-        failures: Runs that ended as failed.
-        failed_run: Highest run number that was counted as failed.
+        failed_runs: Numbers of the runs that ended as failed.
         last_run: Highest run number used.
         saved: Newest saved point.
         runs: Runs that are not over.
     """
 
     done: bool = False
-    failures: int = 0
-    failed_run: int = 0
+    failed_runs: set[int] = field(default_factory=set)
     last_run: int = 0
     saved: str = ""
     runs: list[Run] = field(default_factory=list)
@@ -202,10 +201,8 @@
     """Applies stored progress to a new step."""
     for index in progress.done:
         stage.tasks[index].done = True
-    for task, failures in zip(stage.tasks, progress.failures, strict=False):
-        task.failures = failures
-    for task, failed_run in zip(stage.tasks, progress.failed_runs, strict=False):
-        task.failed_run = failed_run
+    for failed in progress.failed:
+        stage.tasks[failed.index].failed_runs.add(failed.run)
     for task, run in zip(stage.tasks, progress.runs, strict=False):
         task.last_run = run
     for task, saved in zip(stage.tasks, progress.saved, strict=False):
@@ -215,8 +212,11 @@
 def _stage_progress(stage: Stage) -> StageProgress | None:
     tasks = stage.tasks
     done = [index for index, task in enumerate(tasks) if task.done]
-    failures = [task.failures for task in tasks]
-    failed_runs = [task.failed_run for task in tasks]
+    failed = [
+        FailedRun(index, run)
+        for index, task in enumerate(tasks)
+        for run in sorted(task.failed_runs)
+    ]
     runs = [task.last_run for task in tasks]
     saved = [task.saved for task in tasks]
     if not any(runs):
@@ -226,8 +226,7 @@
         stage.occurrence,
         stage.step,
         done,
-        failures if any(failures) and not finished else [],
-        failed_runs if any(failed_runs) and not finished else [],
+        failed if not finished else [],
         runs if not finished else [],
         saved if any(saved) and not finished else [],
     )
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -205,6 +205,19 @@
     attempt: int = 1
 
 
+@dataclass
+class FailedRun:
+    """
+    A run that ended as failed.
+    """
+
+    index: int
+    """
+    Task; 0 for a gang
+    """
+    run: int
+
+
 @dataclass
 class FetchConfig:
     """
@@ -734,13 +747,9 @@
     """
     Tasks that ended successfully.
     """
-    failures: list[int] = field(default_factory=list)
-    """
-    Failed runs by task; empty when there are none.
-    """
-    failed_runs: list[int] = field(default_factory=list)
+    failed: list[FailedRun] = field(default_factory=list)
     """
-    Highest run number counted as failed by task; empty when there are none.
+    Runs that ended as failed; none once all tasks are done.
     """
     runs: list[int] = field(default_factory=list)
     """
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -34,8 +34,9 @@
 )
 from arbutusladder.tasks import spawn_logged
 
-# Seconds for which a read of the configuration waits for a change.
-CONFIG_WAIT_S = 5.0
+# Seconds for which a read of the configuration waits for a change: a change must be
+# in force within 2 s even if the connection of the read has gone silent.
+CONFIG_WAIT_S = 0.9
 RETRY_S = 0.2
 # Seconds after SIGTERM during which new connections are still answered: the
 # balancer looks once a second and acts on two misses (PROTOCOL, ingress).
--- a/arbutusladder/platform/store.py
+++ b/arbutusladder/platform/store.py
@@ -20,7 +20,7 @@
 from arbutusladder.httppool import HttpPool
 
 ANSWER_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 1.5
+READ_TIMEOUT_S = 0.8
 _RECORD_HEAD = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
 # Statuses with which the store says that it has done nothing.
