Reach the log through other entry VMs; beat from owner to members

Change: DetourLog makes each call of the log through up to two other entry VMs; the owner beats every 250 ms and renews every 350 ms; the release of a claim is announced; done tasks stay in the progress.

--- /dev/null
+++ b/arbutusladder/cell/claimkeeper.py
@@ -0,0 +1,159 @@
+"""Claims the cell when its owner is gone, and renews the claim while owning it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import curio
+
+from arbutusladder import events
+from arbutusladder.cell.claims import OWNER_TOPIC, RENEW_S, ClaimView, claim_item
+from arbutusladder.cell.interfaces import EndMoved, PositionLost
+from arbutusladder.cell.owner import BEAT_S, Owner
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.messages import CellClaim, OwnerBeat
+
+if TYPE_CHECKING:
+    from arbutusladder.cell.member import Member, Surroundings
+
+# Seconds without a beat after which the claim on the log is looked at often.
+BEAT_SILENCE_S = 3 * BEAT_S
+SUSPICIOUS_LOOK_S = 0.25
+# Seconds between looks while the owner's beats arrive.
+CALM_LOOK_S = 2.0
+# Steps in which a look that is not due yet waits for a release.
+STEP_S = 0.05
+
+
+class ClaimKeeper:
+    """Watches the claim on the log.
+
+    Args:
+        member: This entry VM.
+        around: Clocks and logs.
+    """
+
+    def __init__(self, member: Member, around: Surroundings):
+        self._member = member
+        self._around = around
+        self._clock = around.clock
+        self._view = ClaimView(member.vm)
+        self._stopping = False
+        self._beat_at = self._clock.now()
+        self._hurry = False
+        self.owner: Owner | None = None
+
+    @property
+    def current(self) -> CellClaim | None:
+        """The newest claim that was read."""
+        return self._view.claim
+
+    async def load(self) -> None:
+        """Reads the newest claim."""
+        batch = await self._member.log.newest(OWNER_TOPIC)
+        self._view.apply(batch.records, batch.end, self._clock.now())
+
+    async def run(self) -> None:
+        """Watches, claims and renews until cancelled."""
+        while True:
+            self._hurry = False
+            try:
+                if self.owner is None:
+                    await self._look()
+                else:
+                    await self._renew()
+            except LogUnavailable:
+                self._around.metrics.count("claims.log_unavailable")
+            await self._pause()
+
+    async def heard(self, beat: OwnerBeat) -> None:
+        """Takes a beat of the owner."""
+        claim = self._view.claim
+        if claim and beat.epoch < claim.epoch:
+            return
+        self._beat_at = self._clock.now()
+        self._hurry |= beat.released or claim is None or beat.epoch > claim.epoch
+
+    async def stop(self) -> None:
+        """Gives up a claim, and claims no more."""
+        self._stopping = True
+        if self.owner:
+            await self.owner.release()
+
+    async def _pause(self) -> None:
+        now = self._clock.now()
+        until = now + (RENEW_S if self.owner else self._look_interval(now))
+        while now < until and not self._hurry:
+            await curio.sleep(STEP_S)
+            now = self._clock.now()
+            if self.owner is None:
+                until = min(until, now + self._look_interval(now))
+
+    def _look_interval(self, now: float) -> float:
+        silent = now - self._beat_at > BEAT_SILENCE_S
+        return SUSPICIOUS_LOOK_S if silent else CALM_LOOK_S
+
+    async def _look(self) -> None:
+        await self._read()
+        now = self._clock.now()
+        if self._stopping or not self._view.may_claim(now):
+            return
+        claim = self._view.next_claim(self._member.listen)
+        if await self._append(claim):
+            self.owner = Owner(claim, self._member, self._around)
+            await curio.spawn(self._run_owner, self.owner, daemon=True)
+
+    async def _read(self) -> None:
+        try:
+            batch = await self._member.log.read(OWNER_TOPIC, self._view.end)
+        except PositionLost:
+            batch = await self._member.log.newest(OWNER_TOPIC)
+        self._view.apply(batch.records, batch.end, self._clock.now())
+
+    async def _append(self, claim: CellClaim) -> bool:
+        view = self._view
+        try:
+            offset = await self._member.log.append(
+                OWNER_TOPIC, [claim_item(claim)], expected_end=view.end
+            )
+        except EndMoved:
+            # An append of ours without an answer may be what moved the end.
+            await self._read()
+            return view.held_by_me(claim.epoch)
+        view.claim, view.end, view.changed_at = claim, offset + 1, self._clock.now()
+        return True
+
+    async def _renew(self) -> None:
+        owner = self.owner
+        if not await self._append(self._claim_of(owner)):
+            await owner.lose("another entry VM has claimed the cell")
+
+    def _claim_of(self, owner: Owner, released: bool = False) -> CellClaim:
+        sequence = self._view.claim.sequence + 1 if self._view.claim else 0
+        return CellClaim(
+            owner.epoch,
+            self._member.vm,
+            self._member.listen,
+            sequence,
+            released,
+            owner.silent_workers(),
+        )
+
+    async def _run_owner(self, owner: Owner) -> None:
+        journal = self._around.journal
+        journal.write(events.CELL_CLAIMED, epoch=owner.epoch)
+        cause = "failed"
+        try:
+            cause = await owner.run()
+        finally:
+            journal.write(events.CELL_LOST, epoch=owner.epoch, reason=cause)
+            if owner.released:
+                await self._release(owner)
+            self.owner = None
+
+    async def _release(self, owner: Owner) -> None:
+        try:
+            await self._append(self._claim_of(owner, released=True))
+        except LogUnavailable:
+            self._around.metrics.count("claims.log_unavailable")
+        await owner.announce_release()
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -11,9 +11,10 @@
 OWNER_TOPIC = "keyed.owner"
 OWNER_KEY = "owner"
 # Seconds between renewals of a claim.
-RENEW_S = 0.6
-# Seconds without a renewal after which others claim: three lost renewals.
-SILENCE_S = 1.9
+RENEW_S = 0.35
+# Seconds without a renewal after which others claim: two lost renewals and the
+# calls of the log for reading them.
+SILENCE_S = 1.1
 
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER = msgspec.msgpack.Decoder(CellClaim)
@@ -58,6 +59,9 @@
         """Returns whether the owner has released its claim or gone silent."""
         if self.claim is None or self.claim.released:
             return True
+        if self.claim.holder == self.vm:
+            # The process that held it under this name has ended.
+            return True
         return now - self.changed_at >= SILENCE_S
 
     def next_claim(self, address: str) -> CellClaim:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -5,20 +5,13 @@
 
 import curio
 
-from arbutusladder import events
 from arbutusladder.cell.appender import JobAppender
-from arbutusladder.cell.claims import (
-    OWNER_TOPIC,
-    RENEW_S,
-    ClaimView,
-    claim_item,
-)
+from arbutusladder.cell.claimkeeper import ClaimKeeper
+from arbutusladder.cell.detourlog import DetourLog
 from arbutusladder.cell.interfaces import (
     Advisor,
-    EndMoved,
     KeyedLog,
     KeyedRecord,
-    LogBatch,
     PositionLost,
     WorkerEntry,
     WorkerOrders,
@@ -39,8 +32,10 @@
 from arbutusladder.messages import (
     AdviceCall,
     AdviceReply,
-    CellClaim,
+    LogCall,
+    LogReply,
     MemberHello,
+    MemberList,
     OwnerBeat,
     ProgressRelay,
     SubmittedJob,
@@ -55,8 +50,10 @@
 # Seconds for which the owner's read waits for the next job; a silent connection is
 # noticed after it.
 OWNER_WAIT_S = 1.0
-WATCH_CLAIM_S = 0.4
+# Seconds between greetings of the owner.
 HELLO_S = 0.5
+# Entry VMs kept connected for calls of the log through them.
+MOST_HELPERS = 3
 RETRY_S = 0.2
 
 
@@ -102,7 +99,7 @@
         self.listen = listen
         self._around = surroundings
         self._clock = surroundings.clock
-        self._log = surroundings.log
+        self.log = DetourLog(surroundings.log, listen, surroundings.metrics)
         self.peers = Peers(
             SeatId(vm),
             listen,
@@ -111,14 +108,13 @@
             surroundings.clock,
             surroundings.metrics,
         )
-        self.appender = JobAppender(self._log, self._clock, self._apply_jobs)
+        self.appender = JobAppender(self.log, self._clock, self._apply_jobs)
+        self.log.use(self.peers, self._helpers)
+        self._listen_by_vm: dict[VmId, str] = {}
         self._jobs_offset = 0
         self._progress_offset = 0
-        self._claims = ClaimView(vm)
-        self._owner: Owner | None = None
-        self._stopping = False
+        self.claims = ClaimKeeper(self, surroundings)
         self.loaded = False
-        self._heard_log_at = self._clock.now()
 
     async def run(self) -> None:
         """Runs until cancelled."""
@@ -126,17 +122,23 @@
             await group.spawn(self.peers.run)
             await group.spawn(self.appender.run)
             await group.spawn(self.appender.probe)
+            await group.spawn(self.log.run)
             await self._load()
             await group.spawn(self._follow_jobs)
             await group.spawn(self._follow_progress)
-            await group.spawn(self._watch_claims)
+            await group.spawn(self.claims.run)
             await group.spawn(self._greet_owner)
 
     async def stop(self) -> None:
         """Gives the cell up so that another entry VM claims it at once."""
-        self._stopping = True
-        if self._owner:
-            await self._owner.release()
+        await self.claims.stop()
+
+    @property
+    def _owner(self) -> Owner | None:
+        return self.claims.owner
+
+    def _helpers(self) -> list[SeatId]:
+        return [SeatId(vm) for vm in self._listen_by_vm]
 
     def healthy(self, now: float) -> bool:
         """Returns whether this entry VM can store jobs."""
@@ -172,9 +174,9 @@
     async def _load(self) -> None:
         while not self.loaded:
             try:
-                jobs = await self._log.newest(JOBS_TOPIC)
-                progress = await self._log.newest(PROGRESS_TOPIC)
-                await self._read_claims(await self._log.newest(OWNER_TOPIC))
+                jobs = await self.log.newest(JOBS_TOPIC)
+                progress = await self.log.newest(PROGRESS_TOPIC)
+                await self.claims.load()
             except LogUnavailable:
                 await curio.sleep(RETRY_S)
                 continue
@@ -213,10 +215,9 @@
         """
         while True:
             try:
-                batch = await self._log.read(JOBS_TOPIC, self._jobs_offset, wait)
+                batch = await self.log.read(JOBS_TOPIC, self._jobs_offset, wait)
             except PositionLost:
-                batch = await self._log.newest(JOBS_TOPIC)
-            self._heard_log_at = self._clock.now()
+                batch = await self.log.newest(JOBS_TOPIC)
             await self._apply_jobs(batch.records)
             self._jobs_offset = max(self._jobs_offset, batch.next_offset)
             if self._jobs_offset >= batch.end or not batch.records:
@@ -236,9 +237,9 @@
         while True:
             start = self._progress_offset
             try:
-                batch = await self._log.read(PROGRESS_TOPIC, start)
+                batch = await self.log.read(PROGRESS_TOPIC, start)
             except PositionLost:
-                batch = await self._log.newest(PROGRESS_TOPIC)
+                batch = await self.log.newest(PROGRESS_TOPIC)
             self.table.apply_progress(batch.records)
             self._progress_offset = max(self._progress_offset, batch.next_offset)
             if self._progress_offset >= batch.end or not batch.records:
@@ -250,114 +251,46 @@
         if records and records[0].offset == self._progress_offset:
             self._progress_offset += len(records)
 
-    async def _watch_claims(self) -> None:
-        while True:
-            try:
-                if self._owner is None:
-                    await self._read_claims()
-                    await self._claim_if_free()
-                else:
-                    await self._renew()
-            except LogUnavailable as error:
-                self._around.metrics.count("claims.log_unavailable")
-                del error
-            owned = self._owner is not None
-            await curio.sleep(RENEW_S if owned else WATCH_CLAIM_S)
-
-    async def _read_claims(self, batch: LogBatch | None = None) -> None:
-        if batch is None:
-            try:
-                batch = await self._log.read(OWNER_TOPIC, self._claims.end)
-            except PositionLost:
-                batch = await self._log.newest(OWNER_TOPIC)
-        self._claims.apply(batch.records, batch.end, self._clock.now())
-
-    async def _claim_if_free(self) -> None:
-        now = self._clock.now()
-        if self._stopping or not self._claims.may_claim(now):
-            return
-        claim = self._claims.next_claim(self.listen)
-        if await self._append_claim(claim):
-            await self._start_owner(claim)
-
-    async def _append_claim(self, claim: CellClaim) -> bool:
-        view = self._claims
-        try:
-            offset = await self._log.append(
-                OWNER_TOPIC, [claim_item(claim)], expected_end=view.end
-            )
-        except EndMoved:
-            # An append of ours without an answer may be what moved the end.
-            await self._read_claims()
-            return view.held_by_me(claim.epoch)
-        view.claim, view.end, view.changed_at = claim, offset + 1, self._clock.now()
-        return True
-
-    async def _renew(self) -> None:
-        owner = self._owner
-        claim = self._claims.claim
-        renewed = CellClaim(
-            owner.epoch,
-            self.vm,
-            self.listen,
-            claim.sequence + 1,
-            silent_workers=owner.silent_workers(),
-        )
-        if not await self._append_claim(renewed):
-            await owner.lose("another entry VM has claimed the cell")
-
-    async def _start_owner(self, claim: CellClaim) -> None:
-        self._owner = Owner(claim, self, self._around)
-        await curio.spawn(self._run_owner, self._owner, daemon=True)
-
-    async def _run_owner(self, owner: Owner) -> None:
-        journal = self._around.journal
-        journal.write(events.CELL_CLAIMED, epoch=owner.epoch)
-        try:
-            cause = await owner.run()
-        finally:
-            if self._owner is owner:
-                self._owner = None
-        journal.write(events.CELL_LOST, epoch=owner.epoch, reason=cause)
-        if owner.released:
-            await self._append_release(owner)
-
-    async def _append_release(self, owner: Owner) -> None:
-        released = CellClaim(
-            owner.epoch,
-            self.vm,
-            self.listen,
-            0,
-            released=True,
-            silent_workers=owner.silent_workers(),
-        )
-        try:
-            await self._append_claim(released)
-        except LogUnavailable:
-            self._around.metrics.count("claims.log_unavailable")
-
     async def _greet_owner(self) -> None:
         while True:
-            claim = self._claims.claim
+            claim = self.claims.current
             if claim and not claim.released and claim.holder != self.vm:
                 seat = SeatId(claim.holder)
                 await self.peers.connect(seat, claim.address)
                 await self.peers.send(seat, MemberHello(self.vm, self.listen))
             await curio.sleep(HELLO_S)
 
+    async def _know_members(self, members: list[MemberHello]) -> None:
+        """Keeps connections to the entry VMs that follow this one by name."""
+        listen_by_vm = {m.vm: m.listen for m in members if m.vm != self.vm}
+        names = sorted(listen_by_vm)
+        following = [vm for vm in names if vm > self.vm]
+        chosen = (following + names)[:MOST_HELPERS]
+        self._listen_by_vm = {vm: listen_by_vm[vm] for vm in dict.fromkeys(chosen)}
+        for vm, listen in self._listen_by_vm.items():
+            await self.peers.connect(SeatId(vm), listen)
+
+    async def _help(self, sender: SeatId, call: LogCall) -> None:
+        await self.peers.connect(sender, call.listen)
+        await self.peers.send(sender, await self.log.help(call))
+
     async def _received(self, received: Received) -> None:
         match received.message:
             case MemberHello() as hello:
                 if self._owner:
                     await self._owner.greeted(hello)
+            case MemberList() as listed:
+                await self._know_members(listed.members)
+            case LogCall() as call:
+                await curio.spawn(self._help, received.sender, call, daemon=True)
             case ProgressRelay() as relay:
                 await self._take_relay(relay)
             case AdviceCall() as call:
                 await curio.spawn(self._advise, received.sender, call, daemon=True)
-            case AdviceReply() as reply:
+            case AdviceReply() | LogReply() as reply:
                 await self.peers.resolve(reply)
-            case OwnerBeat():
-                pass
+            case OwnerBeat() as beat:
+                await self.claims.heard(beat)
 
     async def _take_relay(self, relay: ProgressRelay) -> None:
         # A gap is filled by the next read of the topic.
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -8,7 +8,7 @@
 import curio
 
 from arbutusladder import events
-from arbutusladder.cell.advising import AdviceDispatcher
+from arbutusladder.cell.advising import MEMBER_SILENCE_S, AdviceDispatcher
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
@@ -28,7 +28,13 @@
 from arbutusladder.cell.workers import CLOCK_RATE_ERROR
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import JobId, SeatId, VmId
-from arbutusladder.messages import CellClaim, MemberHello, OwnerBeat, ProgressRelay
+from arbutusladder.messages import (
+    CellClaim,
+    MemberHello,
+    MemberList,
+    OwnerBeat,
+    ProgressRelay,
+)
 
 if TYPE_CHECKING:
     from arbutusladder.cell.member import Member, Surroundings
@@ -38,6 +44,8 @@
 # Seconds for which a renewal waits for an end on a worker with tasks.
 BUSY_WAIT_S = 1.0
 IDLE_WAIT_S = 2.0
+# Seconds between the beats by which others notice the owner's end.
+BEAT_S = 0.25
 # Seconds between looks at the registry of workers.
 REGISTRY_S = 0.5
 # Seconds after which decisions are made even if nothing was heard.
@@ -67,7 +75,7 @@
         self._member = member
         self._around = around
         self._clock = around.clock
-        self._log = around.log
+        self._log = member.log
         now = self._clock.now()
         self.state = CellState(self._clock.wall() - now, member.table.need_of)
         self._placer = Placer(self.state)
@@ -83,7 +91,7 @@
         self._keepers: dict[VmId, curio.Task] = {}
         self._entry_by_vm: dict[VmId, WorkerEntry] = {}
         self._registry_offset = 0
-        self._listen_by_member: dict[VmId, str] = {}
+        self._hello_by_vm: dict[VmId, tuple[float, MemberHello]] = {}
         self.advising = AdviceDispatcher(
             member.vm, member.peers, around.advisor, self._clock
         )
@@ -97,6 +105,7 @@
                 self._decide_loop,
                 self._write_loop,
                 self._registry_loop,
+                self._beat_loop,
             ):
                 await group.spawn(self._guard, part)
             return await self._end.unwrap()
@@ -135,10 +144,27 @@
     async def greeted(self, hello: MemberHello) -> None:
         """Takes the hello of an entry VM and answers it."""
         seat = SeatId(hello.vm)
+        now = self._clock.now()
         await self._member.peers.connect(seat, hello.listen)
-        self._listen_by_member[hello.vm] = hello.listen
-        self.advising.member_seen(hello.vm, self._clock.now())
-        await self._member.peers.send(seat, OwnerBeat(self.epoch, 0))
+        self._hello_by_vm[hello.vm] = (now, hello)
+        self.advising.member_seen(hello.vm, now)
+        oldest = now - MEMBER_SILENCE_S
+        live = [hello for at, hello in self._hello_by_vm.values() if at > oldest]
+        own = MemberHello(self._member.vm, self._member.listen)
+        await self._member.peers.send(seat, MemberList([own, *live]))
+
+    async def _beat_loop(self) -> None:
+        while True:
+            await self._tell(OwnerBeat(self.epoch))
+            await curio.sleep(BEAT_S)
+
+    async def _tell(self, message: OwnerBeat | ProgressRelay) -> None:
+        for vm in self._hello_by_vm:
+            await self._member.peers.send(SeatId(vm), message)
+
+    async def announce_release(self) -> None:
+        """Tells the other entry VMs that the claim is free."""
+        await self._tell(OwnerBeat(self.epoch, released=True))
 
     async def _guard(self, part) -> None:
         try:
@@ -382,6 +408,4 @@
 
     async def _relay(self, offset: int, items: list[tuple[str, bytes]]) -> None:
         flat = [part for key, value in items for part in (key.encode(), value)]
-        message = ProgressRelay(offset, flat)
-        for vm in self._listen_by_member:
-            await self._member.peers.send(SeatId(vm), message)
+        await self._tell(ProgressRelay(offset, flat))
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -219,7 +219,7 @@
     ]
     runs = [task.last_run for task in tasks]
     saved = [task.saved for task in tasks]
-    if not any(runs):
+    if not done and not any(runs):
         return None
     finished = len(done) == len(tasks)
     return StageProgress(
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -70,3 +70,23 @@
     ACCEPTED = "accepted"
     NOT_STORED = "not_stored"
     UNKNOWN = "unknown"
+
+
+class LogMethod(Enum):
+    """Calls of the log that another entry VM can make."""
+
+    APPEND = "append"
+    SET_EPOCH = "set_epoch"
+    READ = "read"
+    NEWEST = "newest"
+
+
+class LogResult(Enum):
+    """Outcome of a call of the log that another entry VM made."""
+
+    DONE = "done"
+    NOT_DONE = "not_done"
+    UNKNOWN = "unknown"
+    END_MOVED = "end_moved"
+    FENCED = "fenced"
+    POSITION_LOST = "position_lost"
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -29,7 +29,7 @@
     VmKind,
     VmState,
 )
-from arbutusladder.cell.states import JobPhase
+from arbutusladder.cell.states import JobPhase, LogMethod, LogResult
 
 
 @dataclass
@@ -509,6 +509,54 @@
     """
 
 
+@dataclass
+class LogCall:
+    """
+    An entry VM that cannot reach the log asks another one to call it.
+    """
+
+    request_id: RequestId
+    listen: str
+    """
+    Address for the answer.
+    """
+    method: LogMethod
+    topic: str
+    items: list[LogItem] = field(default_factory=list)
+    expected_end: int = -1
+    """
+    End that the topic must have; -1 for any.
+    """
+    producer: str = ""
+    """
+    Writer whose appends are fenced; empty for none.
+    """
+    epoch: int = 0
+    sequence: int = 0
+    offset: int = 0
+
+
+@dataclass
+class LogEntry:
+    """
+    A record that was read.
+    """
+
+    offset: int
+    key: str
+    value: bytes
+
+
+@dataclass
+class LogItem:
+    """
+    Key and value of a record to append.
+    """
+
+    key: str
+    value: bytes
+
+
 @dataclass
 class LogRecord:
     """
@@ -520,6 +568,19 @@
     body: str
 
 
+@dataclass
+class LogReply:
+    """
+    Answer to a call of the log for another entry VM.
+    """
+
+    request_id: RequestId
+    result: LogResult
+    offset: int = 0
+    end: int = 0
+    records: list[LogEntry] = field(default_factory=list)
+
+
 @dataclass
 class MemberHello:
     """
@@ -533,6 +594,15 @@
     """
 
 
+@dataclass
+class MemberList:
+    """
+    Entry VMs that greeted the owner of late.
+    """
+
+    members: list[MemberHello]
+
+
 Messages: TypeAlias = Any
 """
 Messages between entry VMs, and between entry VMs and workers.
@@ -552,13 +622,13 @@
 @dataclass
 class OwnerBeat:
     """
-    The owner answers a hello.
+    The owner is alive.
     """
 
     epoch: Epoch
-    progress_end: int
+    released: bool = False
     """
-    End of the progress log as far as the owner appended.
+    Whether the owner has given up its claim.
     """
 
 
