--- a/arbutusladder/cell/claimkeeper.py
+++ b/arbutusladder/cell/claimkeeper.py
@@ -21,6 +21,8 @@
 SUSPICIOUS_LOOK_S = 0.25
 # Seconds between looks while the owner's beats arrive.
 CALM_LOOK_S = 2.0
+# Appends of a release before its successors are left to notice the silence.
+RELEASE_TRIES = 3
 # Steps in which a look that is not due yet waits for a release.
 STEP_S = 0.05
 
@@ -72,6 +74,8 @@
         if claim and beat.epoch < claim.epoch:
             return
         self._beat_at = self._clock.now()
+        if beat.released and claim:
+            self._view.released_epoch = beat.epoch
         self._hurry |= beat.released or claim is None or beat.epoch > claim.epoch
 
     async def stop(self) -> None:
@@ -152,8 +156,14 @@
             self.owner = None
 
     async def _release(self, owner: Owner) -> None:
-        try:
-            await self._append(self._claim_of(owner, released=True))
-        except LogUnavailable:
-            self._around.metrics.count("claims.log_unavailable")
         await owner.announce_release()
+        for _ in range(RELEASE_TRIES):
+            try:
+                # A renewal that was on its way may have moved the end.
+                if await self._append(self._claim_of(owner, released=True)):
+                    return
+            except LogUnavailable:
+                self._around.metrics.count("claims.log_unavailable")
+            claim = self._view.claim
+            if claim and claim.epoch > owner.epoch:
+                return
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -29,12 +29,14 @@
         end: End of the topic as last read.
         claim: Newest claim; None before the first.
         changed_at: Monotonic time at which the end last moved.
+        released_epoch: Epoch whose owner said that it has given up.
     """
 
     vm: VmId
     end: int = 0
     claim: CellClaim | None = None
     changed_at: float = 0.0
+    released_epoch: int = 0
 
     def apply(self, records: list[KeyedRecord], end: int, now: float) -> None:
         """Takes what was read."""
@@ -48,17 +50,14 @@
     def held_by_me(self, epoch: Epoch) -> bool:
         """Returns whether this entry VM holds the claim of an epoch."""
         claim = self.claim
-        return (
-            claim is not None
-            and claim.holder == self.vm
-            and claim.epoch == epoch
-            and not claim.released
-        )
+        return claim is not None and claim.holder == self.vm and claim.epoch == epoch
 
     def may_claim(self, now: float) -> bool:
         """Returns whether the owner has released its claim or gone silent."""
         if self.claim is None or self.claim.released:
             return True
+        if self.claim.epoch <= self.released_epoch:
+            return True
         if self.claim.holder == self.vm:
             # The process that held it under this name has ended.
             return True
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -260,7 +260,7 @@
                 await self.peers.send(seat, MemberHello(self.vm, self.listen))
             await curio.sleep(HELLO_S)
 
-    async def _know_members(self, members: list[MemberHello]) -> None:
+    async def know_members(self, members: list[MemberHello]) -> None:
         """Keeps connections to the entry VMs that follow this one by name."""
         listen_by_vm = {m.vm: m.listen for m in members if m.vm != self.vm}
         names = sorted(listen_by_vm)
@@ -280,7 +280,7 @@
                 if self._owner:
                     await self._owner.greeted(hello)
             case MemberList() as listed:
-                await self._know_members(listed.members)
+                await self.know_members(listed.members)
             case LogCall() as call:
                 await curio.spawn(self._help, received.sender, call, daemon=True)
             case ProgressRelay() as relay:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -150,6 +150,7 @@
         self.advising.member_seen(hello.vm, now)
         oldest = now - MEMBER_SILENCE_S
         live = [hello for at, hello in self._hello_by_vm.values() if at > oldest]
+        await self._member.know_members(live)
         own = MemberHello(self._member.vm, self._member.listen)
         await self._member.peers.send(seat, MemberList([own, *live]))
 
--- a/arbutusladder/platform/front.py
+++ b/arbutusladder/platform/front.py
@@ -7,6 +7,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.member import Member
+from arbutusladder.cell.stages import longest_chain
 from arbutusladder.cell.states import Submission
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -14,7 +15,7 @@
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.ids import JobId
 from arbutusladder.journal import Journal
-from arbutusladder.messages import Header
+from arbutusladder.messages import Header, SubmittedJob
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.jobbody import JOB_ID, decode_job
 from arbutusladder.platform.routes import Queue, RouteTable
@@ -23,9 +24,12 @@
 DEADLINE_HEADER = "X-Arbutusladder-Request-Deadline-Ms"
 # Seconds kept of a client's wait for the way of the answer.
 ANSWER_MARGIN_S = 0.25
-# Seconds after which a refused job may be handed in again: the log answers calls
-# in milliseconds and its state is looked at several times a second.
-RETRY_AFTER_S = 1
+# Seconds after which a refused request may come again. Outages of the log last
+# seconds and clients come back a few times only (SYSTEM, client's retries), so a
+# job with a far objective is asked to wait for a larger part of it.
+SHORTEST_RETRY_S = 1
+LONGEST_RETRY_S = 3
+RETRY_SHARE_OF_OBJECTIVE = 0.2
 
 
 class Front:
@@ -93,7 +97,7 @@
             queue=queue.terms.name,
             outcome=outcome.value,
         )
-        return self._stored(outcome)
+        return self._stored(outcome, retry_after_s(record))
 
     async def _state(self, job_id: JobId) -> HttpAnswer:
         try:
@@ -114,22 +118,24 @@
         self._journal.write(events.JOB_CANCEL, job=job_id, outcome=outcome.value)
         return self._stored(outcome)
 
-    def _stored(self, outcome: Submission) -> HttpAnswer:
+    def _stored(
+        self, outcome: Submission, retry_s: int = SHORTEST_RETRY_S
+    ) -> HttpAnswer:
         self._metrics.count(f"submissions.{outcome.value}")
         match outcome:
             case Submission.ACCEPTED:
                 return _answer(HTTPStatus.OK, {})
             case Submission.NOT_STORED:
-                return self._refuse("not_stored")
+                return self._refuse("not_stored", retry_s)
             case Submission.UNKNOWN:
                 return _answer(HTTPStatus.GATEWAY_TIMEOUT, {"error": "unknown"})
 
-    def _refuse(self, reason: str) -> HttpAnswer:
+    def _refuse(self, reason: str, retry_s: int = SHORTEST_RETRY_S) -> HttpAnswer:
         self._metrics.count(f"refused.{reason}")
         return _answer(
             HTTPStatus.SERVICE_UNAVAILABLE,
             {"error": reason},
-            [Header("Retry-After", str(RETRY_AFTER_S))],
+            [Header("Retry-After", str(retry_s))],
         )
 
     def _deadline(self, request: HttpRequest, queue: Queue) -> float:
@@ -140,6 +146,14 @@
         return self._clock.now() + max(0.0, wait - ANSWER_MARGIN_S)
 
 
+def retry_after_s(record: SubmittedJob) -> int:
+    """Returns the seconds after which a refused job is worth another try."""
+    queue = record.queue
+    objective = queue.stretch * longest_chain(record) + queue.objective_s
+    wanted = int(objective * RETRY_SHARE_OF_OBJECTIVE)
+    return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wanted))
+
+
 def _answer(
     status: HTTPStatus, body: dict, headers: list[Header] | None = None
 ) -> HttpAnswer:
--- a/tests/cell/__init__.py
+++ b/tests/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the cell with one owner."""
--- a/tests/cell/test_stages.py
+++ b/tests/cell/test_stages.py
@@ -33,6 +33,8 @@
 
 
 class TestProgress:
+    """What a successor knows of a job."""
+
     def test_finished_step_stays_done_after_two_takeovers(self):
         """Guards against a finished step that the second successor runs again."""
         record = job(steps(2, 1))
