Find workers on which tasks stand still; stand-ins of the platform and path tests

Cause: a task on a stalled worker waited for the worker's return, and new tasks went there, since its room looked free. Change: workers have a speed relative to estimates, averaged over looks at their runs; slow ones get no new tasks, and runs on stalled ones are moved. A member without a known owner looks at the claim often.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -186,7 +186,7 @@
         run.changed_at = now
         if answer.outcome is OrderOutcome.ACCEPTED:
             run.phase = RunPhase.RUNNING
-            run.moved_at = now
+            run.moved_at = run.looked_at = now
             return
         stage = self._stage_of(run)
         if answer.outcome is OrderOutcome.UNKNOWN:
@@ -294,6 +294,7 @@
             phase,
             now,
             moved_at=now,
+            looked_at=now,
         )
         task = stage.tasks[index]
         task.runs.append(run)
@@ -398,11 +399,29 @@
             run = self._adopt(worker, row, stage, index, now)
         if run.phase is RunPhase.SENT:
             run.phase, run.changed_at = RunPhase.RUNNING, now
-        if row.percent > run.percent:
-            run.percent, run.moved_at = row.percent, now
+            run.moved_at = run.looked_at = now
+        if stage:
+            lasting = stage.spec.lasting
+            worker.look(
+                run, row.percent, 0.0 if lasting else stage.spec.estimate_s, now
+            )
+            self._move_from_stalled(worker, run, stage, now)
         if stage and row.saved and index < len(stage.tasks):
             stage.tasks[index].saved = row.saved
 
+    def _move_from_stalled(
+        self, worker: Worker, run: Run, stage: Stage, now: float
+    ) -> None:
+        """Stops a run that stands still, so that it starts elsewhere.
+
+        A gang without saved points would lose the work of all its members.
+        """
+        keeps_work = not stage.spec.gang or stage.spec.checkpoints
+        movable = keeps_work and not stage.spec.lasting and not run.stop_wanted
+        if movable and worker.stands_still(run, now):
+            run.stop_wanted = True
+            self._note(events.RUN_STALLED, task=run.task, run=run.number, worker=run.vm)
+
     def _adopt(
         self,
         worker: Worker,
--- a/arbutusladder/cell/claimkeeper.py
+++ b/arbutusladder/cell/claimkeeper.py
@@ -95,7 +95,8 @@
 
     def _look_interval(self, now: float) -> float:
         silent = now - self._beat_at > BEAT_SILENCE_S
-        return SUSPICIOUS_LOOK_S if silent else CALM_LOOK_S
+        unowned = self._view.claim is None or self._view.claim.released
+        return SUSPICIOUS_LOOK_S if silent or unowned else CALM_LOOK_S
 
     async def _look(self) -> None:
         await self._read()
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -42,7 +42,7 @@
 # Seconds of a lease; long enough for a successor to renew it after a kill.
 LEASE_S = 5.0
 # Seconds for which a renewal waits for an end on a worker with tasks.
-BUSY_WAIT_S = 1.0
+BUSY_WAIT_S = 0.6
 IDLE_WAIT_S = 2.0
 # Seconds between the beats by which others notice the owner's end.
 BEAT_S = 0.25
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -107,13 +107,14 @@
 
     def _candidates(self, stage: Stage, this_round: Round) -> list[Worker]:
         urgent = is_urgent(stage)
-        return [
+        found = [
             worker
             for worker in this_round.open_workers
             if _may_run(stage, worker)
             and (urgent or worker.entry.vm not in this_round.held)
             and fits(stage.spec.need, worker.free)
         ]
+        return [w for w in found if not w.speed.slow(this_round.now)]
 
     def _place_tasks(
         self, stage: Stage, candidates: list[Worker], this_round: Round
--- a/arbutusladder/cell/simulation.py
+++ b/arbutusladder/cell/simulation.py
@@ -33,6 +33,8 @@
 
 # Seconds of one way between an owner and a worker in another failure domain.
 ONE_WAY_S = 0.004
+# Longest time between two reports of a worker.
+RENEW_S = 0.5
 # Seconds between two rounds of decisions.
 STEP_S = 0.01
 
@@ -45,8 +47,14 @@
     task: str
     run: int
     need: Resources
+    started_at: float
     ends_at: float
 
+    def percent(self, now: float) -> float:
+        """Returns the share of the work that is done."""
+        whole = self.ends_at - self.started_at
+        return min(100.0, 100.0 * (now - self.started_at) / whole)
+
 
 @dataclass
 class SimulatedWorker:
@@ -55,6 +63,8 @@
     Attributes:
         entry: What it says of itself.
         overloaded: Starts that brought it over its capacity.
+        answers: Whether it answers.
+        stalled_until: Time until which its tasks stand still.
     """
 
     entry: WorkerEntry
@@ -62,12 +72,16 @@
     ended: list[EndedTask] = field(default_factory=list)
     overloaded: int = 0
     answers: bool = True
+    stalled_until: float = 0.0
     _numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
-    def start(self, order: StartOrder, need: Resources, ends_at: float) -> None:
-        """Starts a task."""
+    def start(
+        self, order: StartOrder, need: Resources, now: float, takes: float
+    ) -> None:
+        """Starts a task that takes so many seconds."""
+        starts_at = max(now, self.stalled_until)
         self.running[(order.task, order.run)] = _Running(
-            order.task, order.run, need, ends_at
+            order.task, order.run, need, starts_at, starts_at + takes
         )
         cpu = sum(run.need.cpu for run in self.running.values())
         memory = sum(run.need.memory_mb for run in self.running.values())
@@ -75,6 +89,13 @@
         if cpu > capacity.cpu + 1e-6 or memory > capacity.memory_mb + 1e-6:
             self.overloaded += 1
 
+    def stall(self, now: float, seconds: float) -> None:
+        """Lets all tasks stand still for a while."""
+        self.stalled_until = now + seconds
+        for run in self.running.values():
+            run.started_at += seconds
+            run.ends_at += seconds
+
     def end(self, key: tuple[str, int], how: EndKind) -> None:
         """Ends a run and lists its end."""
         if self.running.pop(key, None):
@@ -83,7 +104,8 @@
     def report(self, now: float) -> WorkerReport:
         """Returns what it would answer to a renewal."""
         running = [
-            RunningTask(run.task, run.run, "", 50.0) for run in self.running.values()
+            RunningTask(run.task, run.run, "", max(0.0, run.percent(now)))
+            for run in self.running.values()
         ]
         return WorkerReport(self.entry.born, now, running, list(self.ended))
 
@@ -125,7 +147,11 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
         for vm in self.worker_by_vm:
-            self._report(vm)
+            self._renew(vm)
+
+    def stall_at(self, when: float, vm: VmId, seconds: float) -> None:
+        """Plans that a worker's tasks stand still for a while."""
+        self.at(when, lambda: self.worker_by_vm[vm].stall(self.now, seconds))
 
     def at(self, when: float, action: Callable[[], None]) -> None:
         """Plans an action at a time after the start in seconds."""
@@ -183,7 +209,7 @@
         if not worker.answers or stage is None:
             return
         takes = self._duration(order.task, order.vm)
-        worker.start(order, stage.spec.need, self.now + takes)
+        worker.start(order, stage.spec.need, self.now, takes)
         key = (order.task, order.run)
         self._later(takes, lambda: self._end(order.vm, key))
         answer = OrderAnswer(OrderOutcome.ACCEPTED, self.now)
@@ -198,9 +224,18 @@
         self._later(ONE_WAY_S, lambda: self._report(order.vm))
 
     def _end(self, vm: VmId, key: tuple[str, int]) -> None:
-        self.worker_by_vm[vm].end(key, self._verdict(key[0], vm))
+        worker = self.worker_by_vm[vm]
+        run = worker.running.get(key)
+        if run and run.ends_at > self.now + STEP_S:
+            self._later(run.ends_at - self.now, lambda: self._end(vm, key))
+            return
+        worker.end(key, self._verdict(key[0], vm))
         self._later(ONE_WAY_S, lambda: self._report(vm))
 
+    def _renew(self, vm: VmId) -> None:
+        self._report(vm)
+        self._later(RENEW_S, lambda: self._renew(vm))
+
     def _report(self, vm: VmId) -> None:
         worker = self.worker_by_vm[vm]
         if worker.answers:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.interfaces import WorkerEntry, WorkerReport
+from arbutusladder.cell.speed import SHORTEST_LOOK_S, STANDSTILL_S, Speed
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import Resources
@@ -41,6 +42,7 @@
         changed_at: Monotonic time of the last change of the phase.
         percent: Share of its work that is done.
         moved_at: Monotonic time at which the share last rose.
+        looked_at: Monotonic time of the last look at the share.
         stop_wanted: Whether it has to be stopped.
         stop_sent_at: Monotonic time of the last stop order; None before the first.
         stop_answered_at: Monotonic time of the answer to a stop order.
@@ -57,6 +59,7 @@
     changed_at: float
     percent: float = 0.0
     moved_at: float = 0.0
+    looked_at: float = 0.0
     stop_wanted: bool = False
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
@@ -81,6 +84,7 @@
         paused_until: Monotonic time until which it gets no new tasks.
         failures: Failed runs in a row.
         trial: Task that tries it after failures.
+        speed: How fast it works.
     """
 
     entry: WorkerEntry
@@ -94,6 +98,7 @@
     failed_jobs: set[JobId] = field(default_factory=set)
     trial: str | None = None
     ended_counts: int = 0
+    speed: Speed = field(default_factory=Speed)
     _clock: float | None = None
     _clock_at: float = 0.0
     _lease_until: float | None = None
@@ -176,6 +181,34 @@
         """Whether it failed so much that it gets one task at a time."""
         return self.failures >= FAILURES_BEFORE_TRIAL and len(self.failed_jobs) > 1
 
+    def look(self, run: Run, percent: float, estimate_s: float, now: float) -> None:
+        """Takes the progress of a run.
+
+        Args:
+            run: The run.
+            percent: Share of its work that is done.
+            estimate_s: Estimated duration; 0 for tasks without an end.
+            now: Monotonic time in seconds.
+        """
+        seconds = now - run.looked_at
+        if seconds < SHORTEST_LOOK_S:
+            return
+        gained = percent - run.percent
+        if estimate_s > 0:
+            share = max(0.0, gained) / 100.0 * estimate_s / seconds
+            self.speed.observe(share, seconds, now)
+        if gained > 0:
+            run.moved_at = now
+        run.percent, run.looked_at = percent, now
+
+    def stands_still(self, run: Run, now: float) -> bool:
+        """Returns whether a run has made no progress on a stalled worker."""
+        return (
+            run.phase is RunPhase.RUNNING
+            and now - run.moved_at > STANDSTILL_S
+            and self.speed.stalled(now)
+        )
+
     def note_failure(self, run: Run, now: float) -> None:
         """Counts a failed run."""
         self.failures += 1
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -141,6 +141,12 @@
     "stops run {run} of task {task} on worker {worker}, which no open job needs",
 )
 RUNS_LOST = Event(464, Level.WARNING, "lost {runs} runs on worker {worker}: {cause}")
+RUN_STALLED = Event(
+    467,
+    Level.WARNING,
+    "moves run {run} of task {task} from worker {worker}, where tasks stand still",
+    "check the worker if this repeats",
+)
 JOB_SUBMITTED = Event(465, Level.INFO, "job {job} of queue {queue}: {outcome}")
 JOB_CANCEL = Event(466, Level.INFO, "cancellation of job {job}: {outcome}")
 
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -115,3 +115,21 @@
         assert len(simulation.phase_by_job) == 4
         assert {order.vm for order in simulation.started} <= allowed
         assert all(order.ticket for order in simulation.started)
+
+
+class TestWorkersWhoseTasksStandStill:
+    """Pattern: tasks on some workers make no progress for seconds."""
+
+    def test_audits_move_away_and_new_tasks_stay_away(self):
+        """Guards against tasks that wait on a stalled worker for its return."""
+        simulation = Simulation(loads.workers(), duration)
+        stalled = [entry.vm for entry in loads.workers()[:2]]
+        for index, at in enumerate(loads.arrivals(5, 6, 6)):
+            simulation.submit_at(at, loads.audit(number(2, index)))
+        for vm in stalled:
+            simulation.stall_at(3.0, vm, 20.0)
+        simulation.run(16)
+        waits = [simulation.wait_of(job) for job in simulation.submitted_at_by_job]
+        assert all(wait is not None and wait < 12 for wait in waits)
+        late_starts = simulation.started[-50:]
+        assert sum(1 for order in late_starts if order.vm in stalled) <= 5
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter, against stand-ins of the platform."""
--- /dev/null
+++ b/tests/platform/standins.py
@@ -0,0 +1,289 @@
+"""Stand-ins of the platform's store, executors and advice, with fault switches."""
+
+import base64
+import itertools
+import json
+import struct
+import time
+from dataclasses import dataclass, field
+
+import curio
+
+from arbutusladder.httpclient import HttpAnswer
+from arbutusladder.httpserver import HttpRequest, HttpServer
+
+POLL_S = 0.01
+
+
+def answer(status, body=None):
+    """Returns an answer with a JSON body."""
+    return HttpAnswer(status, [], json.dumps(body if body is not None else {}).encode())
+
+
+@dataclass
+class Topic:
+    """One topic; records before ``first`` are deleted."""
+
+    records: list[bytes] = field(default_factory=list)
+    first: int = 0
+    epoch: int = 0
+    replies: dict[tuple, dict] = field(default_factory=dict)
+    sequence: int = -1
+
+    @property
+    def end(self):
+        """Offset of the next record."""
+        return len(self.records)
+
+
+class FakeStore:
+    """The platform's store.
+
+    Attributes:
+        refuse: Status that every call gets; 0 for none.
+        lose_replies: Number of next appends that take effect without an answer.
+        silent: Whether calls get no answer and have no effect.
+    """
+
+    def __init__(self):
+        self.topics: dict[str, Topic] = {}
+        self.refuse = 0
+        self.lose_replies = 0
+        self.silent = False
+        self.appends = 0
+        self.server = HttpServer("127.0.0.1:0", self.handle, max_body=4 << 20)
+
+    @property
+    def address(self):
+        """Address that clients connect to."""
+        return self.server.address
+
+    def put(self, topic, key, value):
+        """Writes a record as the operator or an executor does."""
+        body = value if isinstance(value, bytes) else json.dumps(value).encode()
+        self._topic(topic).records.append(bytes((len(key),)) + key.encode() + body)
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answers one call."""
+        if self.silent:
+            await curio.sleep(3600)
+        if self.refuse:
+            return answer(self.refuse)
+        topic = self._topic(request.query["topic"])
+        match request.path:
+            case "/v1/log-append":
+                return await self._append(topic, request)
+            case "/v1/log-read":
+                return await self._read(topic, request)
+            case "/v1/log-newest":
+                return self._newest(topic, request)
+        return answer(404)
+
+    def _topic(self, name):
+        return self.topics.setdefault(name, Topic())
+
+    async def _append(self, topic, request):
+        self.appends += 1
+        query = request.query
+        if "at" in query and int(query["at"]) != topic.end:
+            return answer(412, {"end": topic.end})
+        if "producer" in query:
+            refused = self._check_writer(topic, query)
+            if refused:
+                return refused
+        records = list(split_records(request.body))
+        reply = {"offset": topic.end, "end": topic.end + len(records)}
+        topic.records += records
+        if "producer" in query and records:
+            topic.sequence = int(query["seq"])
+            topic.replies[(topic.epoch, topic.sequence)] = reply
+        if self.lose_replies:
+            self.lose_replies -= 1
+            await curio.sleep(3600)
+        return answer(200, reply)
+
+    def _check_writer(self, topic, query):
+        epoch, sequence = int(query["epoch"]), int(query["seq"])
+        if epoch < topic.epoch:
+            return answer(409, {"reason": "fenced"})
+        if epoch > topic.epoch:
+            topic.epoch, topic.sequence = epoch, sequence - 1
+        if (epoch, sequence) in topic.replies:
+            return answer(200, topic.replies[(epoch, sequence)])
+        return None
+
+    async def _read(self, topic, request):
+        start = int(request.query["from"])
+        until = time.monotonic() + int(request.query.get("wait-ms", 0)) / 1000
+        while topic.end <= start and time.monotonic() < until:
+            await curio.sleep(POLL_S)
+        if start < topic.first:
+            return answer(410, {"first": topic.first})
+        body = struct.pack(">QQ", topic.end, topic.first)
+        for record in topic.records[start:]:
+            body += struct.pack(">I", len(record)) + record
+        return HttpAnswer(200, [], body)
+
+    def _newest(self, topic, request):
+        newest = {}
+        for offset, record in enumerate(topic.records):
+            size = record[0]
+            key, value = record[1 : 1 + size].decode(), record[1 + size :]
+            newest.pop(key, None)
+            if value:
+                newest[key] = (offset, value)
+        keys = sorted(key for key in newest if key > request.query.get("after", ""))
+        items = [
+            {
+                "key": key,
+                "offset": newest[key][0],
+                "value": base64.b64encode(newest[key][1]).decode(),
+            }
+            for key in keys[:500]
+        ]
+        more = len(keys) > 500
+        return answer(200, {"items": items, "has-more": more, "end": topic.end})
+
+
+def split_records(body):
+    """Yields the records of an append."""
+    position = 0
+    while position < len(body):
+        (size,) = struct.unpack_from(">I", body, position)
+        yield body[position + 4 : position + 4 + size]
+        position += 4 + size
+
+
+@dataclass
+class Run:
+    """A run on an executor."""
+
+    number: int
+    ends_at: float
+
+
+class FakeExecutor:
+    """One executor, which starts whatever it is told.
+
+    Attributes:
+        starts: Task, run and fence of every start.
+        lose_starts: Number of next starts that take effect without an answer.
+        task_s: Duration of a task in seconds.
+        clock_rate: Speed of its clock; below 1 it is slow.
+        twice: Tasks that were running when they were started again.
+    """
+
+    def __init__(self, name, task_s=0.2, clock_rate=1.0):
+        self.name = name
+        self.task_s = task_s
+        self.clock_rate = clock_rate
+        self.born = int(time.time() * 1000)
+        self.fence = 0
+        self.lease = None
+        self.running: dict[str, Run] = {}
+        self.ended: list[list] = []
+        self.stopped_runs: dict[str, int] = {}
+        self.starts: list[tuple[str, int, int]] = []
+        self.twice: list[str] = []
+        self.lose_starts = 0
+        self._numbers = itertools.count(1)
+        self.server = HttpServer("127.0.0.1:0", self.handle)
+
+    def entry(self, service, cores=8, state="ready"):
+        """Returns its entry in the registry."""
+        return {
+            "service": service,
+            "address": self.server.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold-left-ms": 0,
+            "capacity": {"cpu": cores * 1000, "mem-mb": 32768},
+            "labels": ["a", "r1-1"],
+            "seq": 1,
+            "born": self.born,
+        }
+
+    def clock_ms(self):
+        """Returns its steady clock."""
+        return time.monotonic() * 1000 * self.clock_rate
+
+    async def handle(self, request: HttpRequest) -> HttpAnswer:
+        """Answers one order."""
+        wanted = request.header("X-Arbutusladder-Target-Instance")
+        if wanted != self.name:
+            return answer(421)
+        body = json.loads(request.body)
+        self._settle()
+        if body.get("fence", 0) < self.fence:
+            return answer(409, {"reason": "fence", "clock-ms": self.clock_ms()})
+        self.fence = body.get("fence", 0)
+        match request.path:
+            case "/v1/run-start":
+                return await self._start(body)
+            case "/v1/run-stop":
+                return self._stop(body)
+            case "/v1/hold":
+                return await self._hold(body)
+        return answer(404)
+
+    async def _start(self, body):
+        clock = self.clock_ms()
+        if body["deadline-ms"] <= clock:
+            return answer(409, {"reason": "late", "clock-ms": clock})
+        self._extend(body)
+        task, number = body["task"], body["run"]
+        if number <= self.stopped_runs.get(task, 0):
+            return answer(409, {"reason": "old", "clock-ms": clock})
+        if task in self.running:
+            self.twice.append(task)
+        self.starts.append((task, number, body["fence"]))
+        self.running[task] = Run(number, time.monotonic() + self.task_s)
+        if self.lose_starts:
+            self.lose_starts -= 1
+            await curio.sleep(3600)
+        return answer(200, {"clock-ms": clock})
+
+    def _stop(self, body):
+        task, number = body["task"], body["run"]
+        self.stopped_runs[task] = max(number, self.stopped_runs.get(task, 0))
+        if task in self.running:
+            self._end(task, "stopped")
+        return answer(200, {"clock-ms": self.clock_ms()})
+
+    async def _hold(self, body):
+        self._extend(body)
+        seen = body.get("observed", 0)
+        self.ended = [row for row in self.ended if row[0] > seen]
+        until = time.monotonic() + body.get("wait-ms", 0) / 1000
+        while not self.ended and time.monotonic() < until:
+            await curio.sleep(POLL_S)
+            self._settle()
+        running = [[task, run.number, "", 50] for task, run in self.running.items()]
+        return answer(
+            200,
+            {
+                "clock-ms": self.clock_ms(),
+                "born": self.born,
+                "running": running,
+                "ended": self.ended,
+            },
+        )
+
+    def _extend(self, body):
+        if "deadline-ms" in body:
+            self.lease = max(self.lease or 0, body["deadline-ms"])
+
+    def _settle(self):
+        if self.lease is not None and self.clock_ms() > self.lease:
+            for task in list(self.running):
+                self._end(task, "lapsed")
+        for task, run in list(self.running.items()):
+            if run.ends_at <= time.monotonic():
+                self._end(task, "done")
+
+    def _end(self, task, how):
+        run = self.running.pop(task)
+        self.stopped_runs[task] = max(run.number, self.stopped_runs.get(task, 0))
+        self.ended.append([next(self._numbers), task, run.number, how, ""])
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,124 @@
+"""The client of the store, against a stand-in."""
+
+import curio
+import pytest
+
+from arbutusladder.cell.interfaces import (
+    EndMoved,
+    Fenced,
+    PositionLost,
+    WriterPosition,
+)
+from arbutusladder.clock import Clock
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.httppool import HttpPool
+from arbutusladder.platform.store import PlatformLog
+from tests.platform.standins import FakeStore
+
+TOPIC = "keyed.t"
+
+
+def with_store(scenario):
+    """Runs a scenario with a store and its client."""
+
+    async def main():
+        store = FakeStore()
+        await curio.spawn(store.server.run, daemon=True)
+        log = PlatformLog(store.address, HttpPool(Clock()))
+        return await scenario(store, log)
+
+    return curio.run(main)
+
+
+class TestAppend:
+    """What an append may answer."""
+
+    def test_appended_records_are_read_back(self):
+        """Guards against records that the framing damages."""
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [("a", b"1"), ("b", b"")])
+            offset = await log.append(TOPIC, [("a", b"\x00\xff" * 300)])
+            batch = await log.read(TOPIC, 0)
+            return offset, [(r.offset, r.key, r.value) for r in batch.records], batch
+
+        offset, records, batch = with_store(scenario)
+        assert offset == 2
+        assert records == [(0, "a", b"1"), (1, "b", b""), (2, "a", b"\x00\xff" * 300)]
+        assert (batch.end, batch.next_offset) == (3, 3)
+
+    def test_only_one_of_two_conditional_appends_takes_effect(self):
+        """Guards against two claimants that both believe to have won."""
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [("a", b"1")], expected_end=0)
+            with pytest.raises(EndMoved) as error:
+                await log.append(TOPIC, [("a", b"2")], expected_end=0)
+            return error.value.end
+
+        assert with_store(scenario) == 1
+
+    def test_lower_epoch_is_fenced(self):
+        """Guards against progress that a replaced owner writes."""
+
+        async def scenario(store, log):
+            await log.set_epoch(TOPIC, WriterPosition("owner", 2, 0))
+            with pytest.raises(Fenced):
+                await log.append(
+                    TOPIC, [("a", b"1")], writer=WriterPosition("owner", 1, 5)
+                )
+            return store.topics[TOPIC].end
+
+        assert with_store(scenario) == 0
+
+    def test_append_without_an_answer_counts_once_when_repeated(self):
+        """Guards against a lost answer that doubles progress."""
+
+        async def scenario(store, log):
+            store.lose_replies = 1
+            writer = WriterPosition("owner", 1, 1)
+            with pytest.raises(LogUnavailable) as error:
+                await log.append(TOPIC, [("a", b"1")], writer=writer, timeout=0.2)
+            again = await log.append(TOPIC, [("a", b"1")], writer=writer)
+            return error.value.maybe_applied, again, store.topics[TOPIC].end
+
+        assert with_store(scenario) == (True, 0, 1)
+
+    @pytest.mark.parametrize("status", [429, 503, 507])
+    def test_refusal_is_certain(self, status):
+        """Guards against a refused append that is taken for an unclear one."""
+
+        async def scenario(store, log):
+            store.refuse = status
+            with pytest.raises(LogUnavailable) as error:
+                await log.append(TOPIC, [("a", b"1")])
+            return error.value.maybe_applied
+
+        assert with_store(scenario) is False
+
+
+class TestRead:
+    """What a read may answer."""
+
+    def test_deleted_position_is_told_apart(self):
+        """Guards against a reader that skips deleted records unnoticed."""
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [("a", b"1"), ("b", b"2")])
+            store.topics[TOPIC].first = 1
+            with pytest.raises(PositionLost):
+                await log.read(TOPIC, 0)
+            return [(r.key, r.value) for r in (await log.newest(TOPIC)).records]
+
+        assert with_store(scenario) == [("a", b"1"), ("b", b"2")]
+
+    def test_newest_reads_all_pages(self):
+        """Guards against jobs that a restarted process does not know."""
+
+        async def scenario(store, log):
+            items = [(f"{number:05}", b"x") for number in range(1200)]
+            await log.append(TOPIC, items)
+            batch = await log.newest(TOPIC)
+            return len(batch.records), batch.next_offset
+
+        assert with_store(scenario) == (1200, 1200)
