Ask for advice about the roomiest workers, and about more when nothing fits

Change: calls name workers by room, at least 24 and as many as the tasks need; a step that fits nowhere asks about workers not named yet, new ones included; a trial is over however its run ends; an owner whose part fails gives up.

--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -35,6 +35,7 @@
     OwnerBeat,
     ProgressRelay,
 )
+from arbutusladder.tasks import log_failure
 
 if TYPE_CHECKING:
     from arbutusladder.cell.member import Member, Surroundings
@@ -200,6 +201,10 @@
             await part()
         except Fenced as error:
             await self.lose(str(error))
+        except Exception as error:
+            # Without one of its parts the owner would hold the cell and do nothing.
+            log_failure(self._around.journal, part.__name__, error)
+            await self.release()
 
     async def _take_over(self) -> None:
         """Fences the predecessor off and reads what it left."""
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -19,6 +19,10 @@
 MOST_HOLDING_GANGS = 2
 # Workers that one call for advice may name (PROTOCOL, advise).
 MOST_ADVISED = 100
+# Workers that a call names at least: about what the users' objective counts.
+LEAST_ADVISED = 24
+# Share of the named workers that may run a step, as a cautious guess.
+EXPECTED_GOOD_SHARE = 0.25
 # Workers named when only tickets are renewed for tasks that start anywhere.
 RENEWED_WORKERS = 6
 # Seconds after which a call for advice is repeated beyond its expected duration.
@@ -129,11 +133,16 @@
         if stage.plan:
             return self._carry_out_plan(stage, now)
         if _needs_advice(stage) and not stage.advice.known:
-            return self._ask_about_all(stage, this_round)
+            return self._ask_about_more(stage, now)
         candidates = self._candidates(stage, this_round)
         if stage.spec.gang:
-            return self._place_gang(stage, candidates, this_round)
-        return self._place_tasks(stage, candidates, this_round)
+            orders = self._place_gang(stage, candidates, this_round)
+        else:
+            orders = self._place_tasks(stage, candidates, this_round)
+        if not orders and _needs_advice(stage):
+            # Nothing fits where the step may run: others may have room.
+            return self._ask_about_more(stage, now)
+        return orders
 
     def _candidates(self, stage: Stage, this_round: Round) -> list[Worker]:
         urgent = is_urgent(stage)
@@ -247,18 +256,19 @@
         this_round.holding += 1
         this_round.held.update(worker.entry.vm for worker in usable)
 
-    def _ask_about_all(self, stage: Stage, this_round: Round) -> list[Order]:
-        vms = [
-            worker.entry.vm
+    def _ask_about_more(self, stage: Stage, now: float) -> list[Order]:
+        """Asks about workers that the step's advice has not named yet."""
+        unknown = [
+            worker
             for worker in self._cell.worker_by_vm.values()
             if worker.listed
             and not worker.entry.draining
+            and worker.entry.vm not in stage.advice.known
             and _suits(stage, worker)
             and fits(stage.spec.need, worker.entry.capacity)
         ]
-        if not vms:
-            return []
-        return [self._ask(stage, tuple(vms[:MOST_ADVISED]), this_round.now)]
+        vms = workers_to_name(stage, unknown)
+        return [self._ask(stage, vms, now)] if vms else []
 
     def _ask(self, stage: Stage, vms: tuple[VmId, ...], now: float) -> AdviceOrder:
         queue = stage.job.record.queue
@@ -267,6 +277,25 @@
         return AdviceOrder(stage.key, vms, expected, is_urgent(stage))
 
 
+def workers_to_name(stage: Stage, unknown: list[Worker]) -> tuple[VmId, ...]:
+    """Returns the workers that a call for advice should name, roomiest first.
+
+    Each worker named makes the call longer, and all calls together would send
+    all work to the same workers if they named those without regard to room.
+    """
+    wanted = len(stage.tasks) / EXPECTED_GOOD_SHARE
+    chosen: list[VmId] = []
+    slots = 0.0
+    for worker in sorted(unknown, key=lambda worker: -worker.free.cpu):
+        if len(chosen) >= MOST_ADVISED:
+            break
+        if len(chosen) >= LEAST_ADVISED and slots >= wanted:
+            break
+        chosen.append(worker.entry.vm)
+        slots += _slots(stage, worker.free)
+    return tuple(chosen)
+
+
 def choose_for_gang(
     stage: Stage, candidates: list[Worker], now: float
 ) -> list[Worker] | None:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -125,6 +125,8 @@
         """Removes a run and gives its resources back."""
         if self.run_by_key.pop(run.key, None):
             self.release(run.need)
+        if self.trial == run.task:
+            self.trial = None
 
     def heard(self, clock: float | None, now: float) -> None:
         """Notes an answer and the worker's clock in it."""
@@ -213,8 +215,6 @@
         """Counts a failed run."""
         self.failures += 1
         self.failed_jobs.add(run.job_id)
-        if self.trial == run.task:
-            self.trial = None
         if self.on_trial:
             self.paused_until = max(self.paused_until, now + TRIAL_PAUSE_S)
 
@@ -222,7 +222,6 @@
         """Forgets failures after a run that ended well."""
         self.failures = 0
         self.failed_jobs.clear()
-        self.trial = None
 
 
 def is_complete(report: WorkerReport, most_ends: int) -> bool:
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -133,3 +133,31 @@
         assert all(wait is not None and wait < 12 for wait in waits)
         late_starts = simulation.started[-50:]
         assert sum(1 for order in late_starts if order.vm in stalled) <= 5
+
+
+class TestAdviceInALargeFleet:
+    """Pattern: a call for advice names fewer workers than there are."""
+
+    def test_work_spreads_over_all_workers(self):
+        """Guards against calls that send all work to the same hundred workers."""
+        terms = loads.queue(
+            "advised",
+            1,
+            2.2,
+            1.0,
+            advice_s=0.1,
+            advice_each_s=0.001,
+            advice_validity_s=1.5,
+        )
+        simulation = Simulation(
+            loads.workers(count=176, rack=8),
+            duration,
+            good=lambda stage, vm: (int(stage[:16], 16) + int(vm[2:])) % 4 == 0,
+        )
+        step = loads.StepSpec(22, loads.Resources(18.0, 1000.0), 6.2, gang=True)
+        for index in range(18):
+            simulation.submit_at(index * 0.1, loads.job(number(3, index), terms, step))
+        simulation.run(14)
+        waits = [simulation.wait_of(job) for job in simulation.submitted_at_by_job]
+        assert all(wait is not None and wait < 11 for wait in waits)
+        assert len({order.vm for order in simulation.started}) > 100
