--- a/arbutusladder/cell/advising.py
+++ b/arbutusladder/cell/advising.py
@@ -8,7 +8,7 @@
 
 from arbutusladder.cell.interfaces import AdviceOrder, Advisor
 from arbutusladder.clock import Clock
-from arbutusladder.ids import RequestId, SeatId, VmId
+from arbutusladder.ids import Epoch, RequestId, SeatId, VmId
 from arbutusladder.messages import AdviceCall, AdviceReply
 from arbutusladder.peers import Peers
 
@@ -36,13 +36,17 @@
 
     Args:
         vm: This entry VM.
+        epoch: Epoch of the owner, which keeps calls of its predecessors apart.
         peers: Messages to the others.
         advisor: Advice service as seen from this entry VM.
         clock: Monotonic time.
     """
 
-    def __init__(self, vm: VmId, peers: Peers, advisor: Advisor, clock: Clock):
+    def __init__(
+        self, vm: VmId, epoch: Epoch, peers: Peers, advisor: Advisor, clock: Clock
+    ):
         self._vm = vm
+        self._epoch = epoch
         self._peers = peers
         self._advisor = advisor
         self._clock = clock
@@ -89,7 +93,7 @@
 
     async def _call(self, vm: VmId, call: _Call) -> None:
         order = call.order
-        request_id = RequestId(f"{order.stage}/{next(self._numbers)}")
+        request_id = RequestId(f"{order.stage}/{self._epoch}/{next(self._numbers)}")
         timeout = order.expected_s + GRACE_S
         try:
             if vm == self._vm:
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -7,7 +7,13 @@
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.ids import JobId
-from arbutusladder.messages import JobProgress, Resources, StepSpec, SubmittedJob
+from arbutusladder.messages import (
+    JobProgress,
+    RelayedState,
+    Resources,
+    StepSpec,
+    SubmittedJob,
+)
 
 # Keyed topics: submissions and cancellations by all entry VMs, progress by the owner.
 JOBS_TOPIC = "keyed.jobs"
@@ -96,7 +102,8 @@
                 continue
             job_id = JobId(record.key)
             job = self.job_by_id.setdefault(job_id, KnownJob())
-            if record.offset <= job.progress_offset:
+            # A state that was relayed has the offset of the record that holds all.
+            if record.offset < job.progress_offset:
                 continue
             try:
                 job.progress = _PROGRESS_DECODER.decode(record.value)
@@ -106,6 +113,15 @@
             job.progress_offset = record.offset
             self._index(job_id, job)
 
+    def apply_phases(self, offset: int, states: list[RelayedState]) -> None:
+        """Takes states whose records begin at an offset, without what is done."""
+        for number, state in enumerate(states):
+            job = self.job_by_id.setdefault(state.job_id, KnownJob())
+            if offset + number > job.progress_offset:
+                job.progress = JobProgress(state.state)
+                job.progress_offset = offset + number
+                self._index(state.job_id, job)
+
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Returns the state of a job, or None for an unknown one."""
         job = self.job_by_id.get(job_id)
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -40,6 +40,7 @@
     MemberList,
     OwnerBeat,
     ProgressRelay,
+    RelayedState,
     SubmittedJob,
 )
 from arbutusladder.metrics import Metrics
@@ -252,11 +253,21 @@
             if self._progress_offset >= batch.end or not batch.records:
                 return
 
-    def apply_own_progress(self, records: list[KeyedRecord]) -> None:
-        """Takes progress that this entry VM appended itself."""
-        self.table.apply_progress(records)
-        if records and records[0].offset == self._progress_offset:
-            self._progress_offset += len(records)
+    async def reload_progress(self) -> None:
+        """Reads all progress; the owner relays only states."""
+        batch = await self.log.newest(PROGRESS_TOPIC)
+        self.table.apply_progress(batch.records)
+        self._progress_offset = max(self._progress_offset, batch.next_offset)
+        await self.read_progress()
+
+    def take_phases(self, offset: int, states: list[RelayedState]) -> None:
+        """Takes states whose records begin at an offset of the progress topic.
+
+        A gap is filled by the next read of the topic.
+        """
+        self.table.apply_phases(offset, states)
+        if offset == self._progress_offset:
+            self._progress_offset += len(states)
 
     async def _greet_owner(self) -> None:
         while True:
@@ -295,7 +306,7 @@
                     [KeyedRecord(r.offset, r.key, r.value) for r in relay.records]
                 )
             case ProgressRelay() as relay:
-                await self._take_relay(relay)
+                self.take_phases(relay.offset, relay.states)
             case AdviceCall() as call:
                 await curio.spawn(self._advise, received.sender, call, daemon=True)
             case AdviceReply() | LogReply() as reply:
@@ -303,18 +314,6 @@
             case OwnerBeat() as beat:
                 await self.claims.heard(beat)
 
-    async def _take_relay(self, relay: ProgressRelay) -> None:
-        # A gap is filled by the next read of the topic.
-        records = [
-            KeyedRecord(relay.offset + number, key.decode(), value)
-            for number, (key, value) in enumerate(
-                zip(relay.records[::2], relay.records[1::2], strict=True)
-            )
-        ]
-        self.table.apply_progress(records)
-        if relay.offset == self._progress_offset:
-            self._progress_offset += len(records)
-
     async def _advise(self, sender: SeatId, call: AdviceCall) -> None:
         reply = await self._around.advisor.advise(
             call.request_id, call.stage, call.workers, call.timeout_s
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -13,17 +13,15 @@
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
     Fenced,
-    KeyedRecord,
     OrderAnswer,
     PositionLost,
     StartOrder,
     StopOrder,
     WorkerEntry,
     WorkerReport,
-    WriterPosition,
 )
-from arbutusladder.cell.jobtable import PROGRESS_TOPIC, progress_item
 from arbutusladder.cell.placement import Placer
+from arbutusladder.cell.progresswriter import Progress, ProgressWriter
 from arbutusladder.cell.states import OrderOutcome
 from arbutusladder.cell.workers import CLOCK_RATE_ERROR
 from arbutusladder.errors import LogUnavailable
@@ -34,6 +32,7 @@
     MemberList,
     OwnerBeat,
     ProgressRelay,
+    RelayedState,
 )
 from arbutusladder.tasks import log_failure
 
@@ -60,7 +59,6 @@
 FIRST_READ_S = 1.2
 # Seconds by which a replaced owner may still extend leases before it notices.
 PREDECESSOR_S = 3.0
-PRODUCER = "owner"
 
 
 class Owner:
@@ -85,20 +83,22 @@
         self._predecessor_silent = claim.silent_workers
         self._lease = min(LEASE_S, around.settings.longest_lease_s)
         self._late = 0.0
-        self._append_s = 0.0
         self._work = curio.Event()
-        self._dirty = curio.Event()
-        self._batch_started = 0
-        self._batch_written = 0
-        self._written = curio.Event()
-        self._sequence = itertools.count(1)
+        self._writer = ProgressWriter(
+            member.log,
+            claim.epoch,
+            around.clock,
+            around.metrics,
+            self._collect,
+            self._progress_stored,
+        )
         self._end: curio.Result = curio.Result()
         self._keepers: dict[VmId, curio.Task] = {}
         self._entry_by_vm: dict[VmId, WorkerEntry] = {}
         self._registry_offset = 0
         self._hello_by_vm: dict[VmId, tuple[float, MemberHello]] = {}
         self.advising = AdviceDispatcher(
-            member.vm, member.peers, around.advisor, self._clock
+            member.vm, claim.epoch, member.peers, around.advisor, self._clock
         )
 
     async def run(self) -> str:
@@ -108,7 +108,7 @@
             await self._take_over()
             for part in (
                 self._decide_loop,
-                self._write_loop,
+                self._writer.run,
                 self._registry_loop,
                 self._beat_loop,
             ):
@@ -183,7 +183,7 @@
             open=load.open,
             workers=len(self.state.worker_by_vm),
             advising=self.advising.waiting,
-            append=self._append_s,
+            append=self._writer.append_s,
             late=self._late,
         )
         self._late = 0.0
@@ -212,11 +212,8 @@
         # predecessor's list tells who can call for advice.
         for hello in self._member.members:
             await self._know(hello, self._clock.now())
-        position = WriterPosition(PRODUCER, self.epoch, 0)
-        await self._until_answered(
-            lambda: self._log.set_epoch(PROGRESS_TOPIC, position)
-        )
-        await self._until_answered(self._member.read_progress)
+        await self._until_answered(self._writer.fence)
+        await self._until_answered(self._member.reload_progress)
         await self._until_answered(self._member.read_jobs)
         await self._until_answered(self._read_registry)
         now = self._clock.now()
@@ -276,7 +273,7 @@
         if changes.fenced:
             await self.lose("a worker has seen a higher epoch")
         if changes.dirty:
-            await self._dirty.set()
+            await self._writer.wake()
 
     async def _send(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
         match order:
@@ -418,47 +415,18 @@
     async def _acknowledge(self, vm: VmId, highest: int) -> None:
         """Lets a worker forget ends once what they changed is stored."""
         await self._flush()
-        needed = self._batch_started + (1 if self.state.changes.dirty else 0)
         async with curio.ignore_after(BUSY_WAIT_S):
-            while self._batch_written < needed:
-                await self._written.wait()
+            await self._writer.settled(bool(self.state.changes.dirty))
             worker = self.state.worker_by_vm.get(vm)
             if worker:
                 worker.acknowledged = max(worker.acknowledged, highest)
 
-    async def _write_loop(self) -> None:
-        while True:
-            await self._dirty.wait()
-            self._dirty.clear()
-            dirty, self.state.changes.dirty = self.state.changes.dirty, set()
-            jobs = [self.state.job_by_id.get(job_id) for job_id in dirty]
-            items = [progress_item(job.id, job.progress()) for job in jobs if job]
-            self._batch_started += 1
-            if items:
-                await self._append(items)
-            self._batch_written = self._batch_started
-            written, self._written = self._written, curio.Event()
-            await written.set()
-
-    async def _append(self, items: list[tuple[str, bytes]]) -> None:
-        # The log answers a repeated sequence number with its first answer, so an
-        # append without an answer is repeated as it was.
-        position = WriterPosition(PRODUCER, self.epoch, next(self._sequence))
-        began_at = self._clock.now()
-        while True:
-            try:
-                offset = await self._log.append(PROGRESS_TOPIC, items, writer=position)
-                break
-            except LogUnavailable:
-                self._around.metrics.count("progress.log_unavailable")
-                await curio.sleep(RETRY_S)
-        self._append_s = self._clock.now() - began_at
-        records = [
-            KeyedRecord(offset + number, *item) for number, item in enumerate(items)
-        ]
-        self._member.apply_own_progress(records)
-        await self._relay(offset, items)
-
-    async def _relay(self, offset: int, items: list[tuple[str, bytes]]) -> None:
-        flat = [part for key, value in items for part in (key.encode(), value)]
-        await self._tell(ProgressRelay(offset, flat))
+    def _collect(self) -> Progress:
+        dirty, self.state.changes.dirty = self.state.changes.dirty, set()
+        jobs = [self.state.job_by_id.get(job_id) for job_id in dirty]
+        return [(job.id, job.progress()) for job in jobs if job]
+
+    async def _progress_stored(self, offset: int, progress: Progress) -> None:
+        phases = [RelayedState(job_id, row.state) for job_id, row in progress]
+        self._member.take_phases(offset, phases)
+        await self._tell(ProgressRelay(offset, phases))
--- /dev/null
+++ b/arbutusladder/cell/progresswriter.py
@@ -0,0 +1,114 @@
+"""Stores the progress of jobs in batches, one append at a time."""
+
+import itertools
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from arbutusladder.cell.interfaces import KeyedLog, WriterPosition
+from arbutusladder.cell.jobtable import PROGRESS_TOPIC, progress_item
+from arbutusladder.clock import Clock
+from arbutusladder.errors import LogUnavailable
+from arbutusladder.ids import Epoch, JobId
+from arbutusladder.messages import JobProgress
+from arbutusladder.metrics import Metrics
+
+PRODUCER = "owner"
+RETRY_S = 0.2
+
+Progress = list[tuple[JobId, JobProgress]]
+
+
+class ProgressWriter:
+    """Appends what changed under the owner's epoch.
+
+    Args:
+        log: The log.
+        epoch: Epoch of the owner, which fences its predecessors off.
+        clock: Monotonic time.
+        metrics: Counters.
+        collect: Returns the progress of the jobs that changed since its last call.
+        stored: Takes the offset of the first record and the progress stored.
+
+    Attributes:
+        append_s: Seconds that the last append took.
+    """
+
+    def __init__(
+        self,
+        log: KeyedLog,
+        epoch: Epoch,
+        clock: Clock,
+        metrics: Metrics,
+        collect: Callable[[], Progress],
+        stored: Callable[[int, Progress], Awaitable[None]],
+    ):
+        self._log = log
+        self._epoch = epoch
+        self._clock = clock
+        self._metrics = metrics
+        self._collect = collect
+        self._stored = stored
+        self._sequence = itertools.count(1)
+        self._changed = curio.Event()
+        self._begun = 0
+        self._written = 0
+        self._batch_done = curio.Event()
+        self.append_s = 0.0
+
+    async def fence(self) -> None:
+        """Makes the log refuse appends of lower epochs.
+
+        Raises:
+            Fenced: A higher epoch was seen.
+            LogUnavailable: The log gave no answer.
+        """
+        position = WriterPosition(PRODUCER, self._epoch, 0)
+        await self._log.set_epoch(PROGRESS_TOPIC, position)
+
+    async def wake(self) -> None:
+        """Notes that jobs have changed."""
+        await self._changed.set()
+
+    async def settled(self, pending: bool) -> None:
+        """Waits until what has changed so far is stored.
+
+        Args:
+            pending: Whether changes wait for the next batch.
+        """
+        needed = self._begun + (1 if pending else 0)
+        while self._written < needed:
+            await self._batch_done.wait()
+
+    async def run(self) -> None:
+        """Appends until cancelled.
+
+        Raises:
+            Fenced: A higher epoch was seen.
+        """
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            progress = self._collect()
+            self._begun += 1
+            if progress:
+                await self._append(progress)
+            self._written = self._begun
+            done, self._batch_done = self._batch_done, curio.Event()
+            await done.set()
+
+    async def _append(self, progress: Progress) -> None:
+        # The log answers a repeated sequence number with its first answer, so an
+        # append without an answer is repeated as it was.
+        items = [progress_item(*row) for row in progress]
+        position = WriterPosition(PRODUCER, self._epoch, next(self._sequence))
+        began_at = self._clock.now()
+        while True:
+            try:
+                offset = await self._log.append(PROGRESS_TOPIC, items, writer=position)
+                break
+            except LogUnavailable:
+                self._metrics.count("progress.log_unavailable")
+                await curio.sleep(RETRY_S)
+        self.append_s = self._clock.now() - began_at
+        await self._stored(offset, progress)
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -644,17 +644,14 @@
 @dataclass
 class ProgressRelay:
     """
-    Records that the owner has appended to the progress log.
+    States of the jobs whose progress the owner has appended, in the order of the records.
     """
 
     offset: int
     """
     Offset of the first record.
     """
-    records: list[bytes]
-    """
-    Key and value of each record in turn.
-    """
+    states: list[RelayedState]
 
 
 @dataclass
@@ -726,6 +723,16 @@
     records: list[LogRecord]
 
 
+@dataclass
+class RelayedState:
+    """
+    The state of a job.
+    """
+
+    job_id: JobId
+    state: JobPhase
+
+
 @dataclass
 class RenewLease:
     """
--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -25,6 +25,10 @@
 RECONNECT_MS = 100
 RECONNECT_MAX_MS = 1000
 SEND_QUEUE_LENGTH = 2000
+# Seconds after a connect during which the first messages wait for the connection:
+# several ways between failure domains.
+CONNECT_GRACE_S = 0.2
+CONNECT_POLL_S = 0.01
 LINGER_MS = 200
 
 
@@ -156,7 +160,7 @@
         except curio.TaskTimeout:
             return None
         finally:
-            del self._reply_by_id[message.request_id]
+            self._reply_by_id.pop(message.request_id, None)
             if abandonable:
                 del self._abandonable_by_seat[seat][message.request_id]
 
@@ -216,13 +220,17 @@
     async def _send_to(self, peer: SeatId) -> None:
         queue = self._queue_by_seat[peer]
         outbound = self._outbound_by_seat[peer]
+        connecting_until = self._clock.now() + CONNECT_GRACE_S
         while True:
             sent_at, message = await queue.get()
-            try:
-                data = codec.pack_envelope(self._seat, sent_at, message)
-                outbound.send(data, zmq.NOBLOCK)
+            data = codec.pack_envelope(self._seat, sent_at, message)
+            sent = _send(outbound, data)
+            while not sent and self._clock.now() < connecting_until:
+                await curio.sleep(CONNECT_POLL_S)
+                sent = _send(outbound, data)
+            if sent:
                 self._metrics.count("peers.sent_bytes", len(data))
-            except zmq.Again:
+            else:
                 self._metrics.count("peers.dropped")
 
     def _close(self) -> None:
@@ -232,6 +240,14 @@
         self._context.term()
 
 
+def _send(outbound: zmq.Socket, data: bytes) -> bool:
+    try:
+        outbound.send(data, zmq.NOBLOCK)
+    except zmq.Again:
+        return False
+    return True
+
+
 def _bind(context: zmq.Context, listen: str) -> zmq.Socket:
     sock = context.socket(zmq.PULL)
     _set_heartbeats(sock)
