--- a/arbutusladder/cell/progresswriter.py
+++ b/arbutusladder/cell/progresswriter.py
@@ -14,7 +14,9 @@
 from arbutusladder.metrics import Metrics
 
 PRODUCER = "owner"
-RETRY_S = 0.2
+RETRY_S = 0.1
+# Seconds for the answer to an append; one that is repeated has its first answer.
+APPEND_TIMEOUT_S = 0.8
 
 Progress = list[tuple[JobId, JobProgress]]
 
@@ -105,7 +107,9 @@
         began_at = self._clock.now()
         while True:
             try:
-                offset = await self._log.append(PROGRESS_TOPIC, items, writer=position)
+                offset = await self._log.append(
+                    PROGRESS_TOPIC, items, writer=position, timeout=APPEND_TIMEOUT_S
+                )
                 break
             except LogUnavailable:
                 self._metrics.count("progress.log_unavailable")
--- a/arbutusladder/platform/store.py
+++ b/arbutusladder/platform/store.py
@@ -107,17 +107,16 @@
             query["wait-ms"] = int(wait * 1000)
         began_at = self._pool.now()
         patience = max(SHORTEST_READ_S, self._usual_s * READ_PATIENCE)
-        try:
-            answer = await self._call(
-                "GET",
-                "/v1/log-read",
-                query,
-                timeout=wait + min(LONGEST_READ_S, patience),
-            )
-        finally:
-            if not wait:
-                duration = self._pool.now() - began_at
-                self._usual_s += SMOOTHING * (duration - self._usual_s)
+        answer = await self._call(
+            "GET",
+            "/v1/log-read",
+            query,
+            timeout=wait + min(LONGEST_READ_S, patience),
+        )
+        if not wait:
+            # Failures do not count: they would delay the notice of the log's return.
+            duration = self._pool.now() - began_at
+            self._usual_s += SMOOTHING * (duration - self._usual_s)
         if answer.status == HTTPStatus.GONE:
             raise PositionLost(f"{topic}: offset {offset} is deleted")
         return _decode_read(answer.body, offset)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,7 @@
 """The client of the store, against a stand-in."""
 
+import time
+
 import curio
 import pytest
 
@@ -122,3 +124,20 @@
             return len(batch.records), batch.next_offset
 
         assert with_store(scenario) == (1200, 1200)
+
+    def test_silent_store_does_not_lengthen_later_reads(self):
+        """Guards against a return of the store that is noticed seconds late."""
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [("a", b"1")])
+            await log.read(TOPIC, 0)
+            store.silent = True
+            took = []
+            for _ in range(4):
+                began = time.monotonic()
+                with pytest.raises(LogUnavailable):
+                    await log.read(TOPIC, 0)
+                took.append(time.monotonic() - began)
+            return took
+
+        assert max(with_store(scenario)) < 0.8
