--- a/arbutusladder/cell/progresswriter.py
+++ b/arbutusladder/cell/progresswriter.py
@@ -115,4 +115,5 @@
                 self._metrics.count("progress.log_unavailable")
                 await curio.sleep(RETRY_S)
         self.append_s = self._clock.now() - began_at
+        self._metrics.timing("progress_append", self.append_s)
         await self._stored(offset, progress)
--- a/arbutusladder/metrics.py
+++ b/arbutusladder/metrics.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import statsd
+from prometheus_client import CollectorRegistry, Histogram
 
 from arbutusladder.states import Reason
 
@@ -18,6 +19,9 @@
     def __init__(self, address: str = "", prefix: str = "arbutusladder"):
         self.count_by_name: Counter[str] = Counter()
         self.gauge_by_name: dict[str, float] = {}
+        self.histograms = CollectorRegistry()
+        self._prefix = prefix
+        self._histogram_by_name: dict[str, Histogram] = {}
         self._client = _client(address, prefix)
 
     def count(self, name: str, amount: int = 1) -> None:
@@ -46,6 +50,14 @@
 
     def timing(self, name: str, seconds: float) -> None:
         """Reports a duration in seconds."""
+        histogram = self._histogram_by_name.get(name)
+        if histogram is None:
+            plain = f"{self._prefix}_{name}_seconds".replace(".", "_")
+            histogram = Histogram(
+                plain, f"Duration of {name}.", registry=self.histograms
+            )
+            self._histogram_by_name[name] = histogram
+        histogram.observe(seconds)
         if self._client:
             self._client.timing(name, seconds * 1000)
 
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -1,10 +1,18 @@
-"""Entry VM on the users' platform."""
+"""Entry VM on the users' platform.
+
+Usage:
+    platform [--metrics=PORT/PATH]
+
+Options:
+    --metrics=PORT/PATH  Port and path of the page of metrics; none by default.
+"""
 
 import signal
 import sys
 
 import curio
 import msgspec
+from docopt import docopt
 
 from arbutusladder import events
 from arbutusladder.cell.interfaces import KeyedRecord, PositionLost
@@ -16,7 +24,9 @@
 from arbutusladder.httpserver import HttpRequest, HttpServer
 from arbutusladder.ids import VmId
 from arbutusladder.journal import Journal, configure
+from arbutusladder.logstream import LogStream
 from arbutusladder.metrics import Metrics
+from arbutusladder.metricspage import MetricsPage
 from arbutusladder.platform.advice import PlatformAdvisor
 from arbutusladder.platform.boot import Boot, load_boot
 from arbutusladder.platform.front import Front
@@ -50,9 +60,10 @@
 
     Args:
         boot: Its settings.
+        metrics: Port and path of the page of metrics; empty for none.
     """
 
-    def __init__(self, boot: Boot):
+    def __init__(self, boot: Boot, metrics: str = ""):
         self._boot = boot
         self._clock = Clock()
         self._journal = Journal(boot.vm)
@@ -83,6 +94,14 @@
         self._front = HttpServer(
             boot.front, front.handle, max_body=MAX_BODY_BYTES, on_error=self._failed
         )
+        self._pages: list[HttpServer] = []
+        if metrics:
+            port, _, path = metrics.partition("/")
+            page = MetricsPage(self._metrics, f"/{path}")
+            host = boot.peer.rpartition(":")[0]
+            self._pages.append(
+                HttpServer(f"{host}:{port}", page.answer, on_error=self._failed)
+            )
         self._ready = HttpServer(boot.ready, self._readiness, on_error=self._failed)
 
     def ask_to_stop(self) -> None:
@@ -99,6 +118,8 @@
             ("configuration", self._follow_config),
         ):
             await spawn_logged(self._journal, name, part)
+        for page in self._pages:
+            await spawn_logged(self._journal, "metrics", page.run)
         while not self._stop:
             await curio.sleep(STOP_POLL_S)
         await self._shut_down()
@@ -163,8 +184,9 @@
 
 def main() -> None:
     """Runs the daemon."""
-    configure("info", sys.stdout)
-    entry = Entry(load_boot())
+    options = docopt(__doc__)
+    configure("info", LogStream(sys.stdout.fileno()))
+    entry = Entry(load_boot(), options["--metrics"] or "")
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: entry.ask_to_stop())
     # The settings that a running process uses do not change with a reload.
--- a/arbutusladder/platform/front.py
+++ b/arbutusladder/platform/front.py
@@ -92,6 +92,7 @@
             return _answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
         received_at = self._clock.now()
         outcome = await self._member.submit(record, deadline)
+        self._metrics.timing("submission", self._clock.now() - received_at)
         self._journal.write(
             events.JOB_SUBMITTED,
             job=job_id,
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -8,7 +8,9 @@
 import pytest
 
 from arbutusladder.httpclient import request
+from arbutusladder.httpserver import HttpRequest
 from arbutusladder.messages import Header
+from arbutusladder.metricspage import MetricsPage
 from arbutusladder.platform.__main__ import Entry
 from arbutusladder.platform.boot import load_boot
 from arbutusladder.platform.routes import RouteTable
@@ -217,3 +219,18 @@
             return done, len(starts)
 
         assert play(tmp_path, scenario) == (True, 2)
+
+    def test_metrics_page_counts_submissions(self, tmp_path):
+        """Guards against counters that on-call engineers cannot read."""
+
+        async def scenario(cell):
+            await cell.call(0, "POST", PREFIX + "1" * 16, job())
+            page = MetricsPage(cell.entries[0]._metrics, "/metrics")
+            found = await page.answer(HttpRequest("GET", "/metrics", "/metrics"))
+            missing = await page.answer(HttpRequest("GET", "/x", "/x"))
+            return found.body.decode(), missing.status
+
+        text, missing = play(tmp_path, scenario, size=1)
+        assert 'arbutusladder_submissions_total{reason="accepted"} 1.0' in text
+        assert "arbutusladder_submission_seconds_bucket" in text
+        assert missing == 404
