--- a/arbutusladder/cell/advising.py
+++ b/arbutusladder/cell/advising.py
@@ -54,6 +54,7 @@
         self._long_by_busy_vm: dict[VmId, bool] = {}
         self._waiting: list[_Call] = []
         self._numbers = itertools.count(1)
+        self._closed = False
 
     @property
     def waiting(self) -> int:
@@ -72,7 +73,14 @@
         self._waiting.sort(key=lambda call: call.rank)
         await self._dispatch()
 
+    def close(self) -> None:
+        """Begins no further calls."""
+        self._closed = True
+        self._waiting.clear()
+
     async def _dispatch(self) -> None:
+        if self._closed:
+            return
         now = self._clock.now()
         oldest = now - MEMBER_SILENCE_S
         members = [vm for vm, at in self._seen_at_by_vm.items() if at > oldest]
--- a/arbutusladder/cell/claimkeeper.py
+++ b/arbutusladder/cell/claimkeeper.py
@@ -43,6 +43,7 @@
         self._stopping = False
         self._beat_at = self._clock.now()
         self._hurry = False
+        self._owner_task: curio.Task | None = None
         self.owner: Owner | None = None
 
     @property
@@ -84,6 +85,12 @@
         if self.owner:
             await self.owner.release()
 
+    async def close(self) -> None:
+        """Ends the owner's tasks."""
+        self._stopping = True
+        if self._owner_task:
+            await self._owner_task.cancel()
+
     async def _pause(self) -> None:
         now = self._clock.now()
         until = now + (RENEW_S if self.owner else self._look_interval(now))
@@ -106,7 +113,9 @@
         claim = self._view.next_claim(self._member.listen)
         if await self._append(claim):
             self.owner = Owner(claim, self._member, self._around)
-            await curio.spawn(self._run_owner, self.owner, daemon=True)
+            self._owner_task = await curio.spawn(
+                self._run_owner, self.owner, daemon=True
+            )
 
     async def _read(self) -> None:
         try:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -136,6 +136,10 @@
         """Gives the cell up so that another entry VM claims it at once."""
         await self.claims.stop()
 
+    async def close(self) -> None:
+        """Ends an ownership without giving the claim up; call it after `run`."""
+        await self.claims.close()
+
     @property
     def _owner(self) -> Owner | None:
         return self.claims.owner
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -60,6 +60,16 @@
 # Seconds by which a replaced owner may still extend leases before it notices.
 PREDECESSOR_S = 3.0
 
+# Answers to a repeated start that also tell what became of the first one.
+SETTLING_OUTCOMES = frozenset(
+    {
+        OrderOutcome.ACCEPTED,
+        OrderOutcome.FENCED,
+        OrderOutcome.OLD_RUN,
+        OrderOutcome.WORKER_REPLACED,
+    }
+)
+
 
 class Owner:
     """Owns the workers of a cell under one epoch.
@@ -117,6 +127,7 @@
         except Fenced as error:
             return str(error)
         finally:
+            self.advising.close()
             for keeper in self._keepers.values():
                 await keeper.cancel(blocking=False)
             await group.cancel_remaining()
@@ -304,12 +315,16 @@
         A worker accepts a run that is already there, so the second order tells
         whether the first one arrived.
         """
-        for _ in range(2):
-            answer = await self._around.orders.start(entry, order, self.epoch, until)
-            if answer.outcome is not OrderOutcome.UNKNOWN:
-                break
-            self._around.metrics.count("starts.repeated")
-        return answer
+        orders = self._around.orders
+        first = await orders.start(entry, order, self.epoch, until)
+        if first.outcome is not OrderOutcome.UNKNOWN:
+            return first
+        self._around.metrics.count("starts.repeated")
+        second = await orders.start(entry, order, self.epoch, until)
+        if second.outcome in SETTLING_OUTCOMES:
+            return second
+        # What the second order met says nothing of the first, which may still arrive.
+        return first
 
     async def _stop(self, order: StopOrder) -> None:
         worker = self.state.worker_by_vm.get(order.vm)
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -94,6 +94,7 @@
         self._front = HttpServer(
             boot.front, front.handle, max_body=MAX_BODY_BYTES, on_error=self._failed
         )
+        self._tasks: list[curio.Task] = []
         self._pages: list[HttpServer] = []
         if metrics:
             port, _, path = metrics.partition("/")
@@ -117,12 +118,19 @@
             ("ready", self._ready.run),
             ("configuration", self._follow_config),
         ):
-            await spawn_logged(self._journal, name, part)
+            self._tasks.append(await spawn_logged(self._journal, name, part))
         for page in self._pages:
-            await spawn_logged(self._journal, "metrics", page.run)
+            self._tasks.append(await spawn_logged(self._journal, "metrics", page.run))
         while not self._stop:
             await curio.sleep(STOP_POLL_S)
         await self._shut_down()
+        await self.close()
+
+    async def close(self) -> None:
+        """Ends all tasks; none of them starts another one afterwards."""
+        for task in self._tasks:
+            await task.cancel()
+        await self._member.close()
 
     async def _shut_down(self) -> None:
         self._journal.write(events.ENTRY_DRAINING, vm=self._boot.vm)
--- /dev/null
+++ b/tests/cell/test_owner.py
@@ -0,0 +1,68 @@
+"""Orders of the owner to workers that answer badly."""
+
+import curio
+import pytest
+
+from arbutusladder.cell.interfaces import OrderAnswer, StartOrder
+from arbutusladder.cell.owner import Owner
+from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.metrics import Metrics
+from tests.cell import loads
+
+
+class ScriptedOrders:
+    """Workers that answer starts from a list."""
+
+    def __init__(self, *outcomes):
+        self.outcomes = list(outcomes)
+
+    async def start(self, worker, order, epoch, until):
+        """Returns the next outcome."""
+        return OrderAnswer(self.outcomes.pop(0))
+
+
+class Around:
+    """The surroundings that a start needs."""
+
+    def __init__(self, orders):
+        self.orders = orders
+        self.metrics = Metrics()
+
+
+def start(*outcomes):
+    """Returns the outcome of a start whose orders are answered one by one."""
+    owner = Owner.__new__(Owner)
+    owner.epoch = 1
+    owner._around = Around(ScriptedOrders(*outcomes))
+    entry = loads.workers()[0]
+    order = StartOrder(entry.vm, "task", 1, "payload")
+    return curio.run(owner._start_twice, entry, order, 10.0).outcome
+
+
+class TestUnansweredStart:
+    """A start without an answer is sent again."""
+
+    @pytest.mark.parametrize(
+        "second",
+        [
+            OrderOutcome.NOT_SENT,
+            OrderOutcome.NO_ROOM,
+            OrderOutcome.TOO_LATE,
+            OrderOutcome.TICKET_INVALID,
+            OrderOutcome.UNHEALTHY,
+            OrderOutcome.UNKNOWN,
+        ],
+    )
+    def test_second_order_that_fails_leaves_the_first_in_doubt(self, second):
+        """Guards against a task placed again while its first run goes on."""
+        assert start(OrderOutcome.UNKNOWN, second) is OrderOutcome.UNKNOWN
+
+    def test_second_order_tells_that_the_first_arrived(self):
+        """Guards against stopping a run that was started."""
+        assert start(OrderOutcome.UNKNOWN, OrderOutcome.ACCEPTED) is (
+            OrderOutcome.ACCEPTED
+        )
+
+    def test_answered_start_is_sent_once(self):
+        """Guards against needless orders."""
+        assert start(OrderOutcome.NO_ROOM) is OrderOutcome.NO_ROOM
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -130,7 +130,11 @@
     async def main():
         cell = Cell(tmp_path, size, executors)
         await cell.start()
-        return await scenario(cell)
+        try:
+            return await scenario(cell)
+        finally:
+            for entry in cell.entries:
+                await entry.close()
 
     return curio.run(main)
 
