--- a/arbutusladder/cell/detourlog.py
+++ b/arbutusladder/cell/detourlog.py
@@ -12,6 +12,7 @@
 
 import curio
 
+from arbutusladder import events
 from arbutusladder.cell.interfaces import (
     EndMoved,
     Fenced,
@@ -24,6 +25,7 @@
 from arbutusladder.cell.states import LogMethod, LogResult
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import Epoch, RequestId, SeatId
+from arbutusladder.journal import Journal
 from arbutusladder.messages import LogCall, LogEntry, LogItem, LogReply
 from arbutusladder.metrics import Metrics
 from arbutusladder.peers import Peers
@@ -44,11 +46,15 @@
     Args:
         direct: Client of the log.
         listen: Address of this entry VM for others.
+        journal: Event log.
         metrics: Counters.
     """
 
-    def __init__(self, direct: KeyedLog, listen: str, metrics: Metrics):
+    def __init__(
+        self, direct: KeyedLog, listen: str, journal: Journal, metrics: Metrics
+    ):
         self._direct = direct
+        self._journal = journal
         self._listen = listen
         self._metrics = metrics
         self._peers: Peers | None = None
@@ -67,6 +73,7 @@
             await curio.sleep(PROBE_S)
             if self.detour and await self._reaches():
                 self.detour = False
+                self._journal.write(events.LOG_BACK)
 
     async def append(
         self,
@@ -167,10 +174,15 @@
                 return await direct()
             except LogUnavailable as error:
                 maybe_applied = error.maybe_applied
-                self.detour = True
-                self._metrics.count("log.detours")
+                self._begin_detour(error)
         return await self._ask_others(call, maybe_applied)
 
+    def _begin_detour(self, error: LogUnavailable) -> None:
+        if not self.detour:
+            self.detour = True
+            self._metrics.count("log.detours")
+            self._journal.write(events.LOG_UNAVAILABLE, error=error)
+
     async def _ask_others(self, call: LogCall, maybe_applied: bool) -> LogReply:
         for helper in self._helpers()[:MOST_HELPERS]:
             call.request_id = RequestId(f"{self._listen}/log/{next(self._numbers)}")
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -101,7 +101,9 @@
         self.listen = listen
         self._around = surroundings
         self._clock = surroundings.clock
-        self.log = DetourLog(surroundings.log, listen, surroundings.metrics)
+        self.log = DetourLog(
+            surroundings.log, listen, surroundings.journal, surroundings.metrics
+        )
         self.peers = Peers(
             SeatId(vm),
             listen,
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -403,6 +403,9 @@
         now = self._clock.now()
         match heard:
             case WorkerReport():
+                worker = self.state.worker_by_vm.get(vm)
+                if worker and worker.silent_since is not None:
+                    self._around.journal.write(events.WORKER_ANSWERS, worker=vm)
                 highest = self.state.report(vm, heard, sent_at, now)
                 await self._work.set()
                 worker = self.state.worker_by_vm.get(vm)
@@ -415,6 +418,10 @@
             case _:
                 worker = self.state.worker_by_vm.get(vm)
                 if worker:
+                    if worker.silent_since is None:
+                        self._around.journal.write(
+                            events.WORKER_SILENT, worker=vm, error=heard.outcome.value
+                        )
                     worker.unanswered(sent_at)
 
     async def _learn_jobs(self, report: WorkerReport) -> None:
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -49,6 +49,12 @@
     "task {task} failed: {error}",
     "report the traceback; the process ends when a main task fails",
 )
+SETTINGS_KEPT = Event(
+    106,
+    Level.INFO,
+    "asked to reload; addresses and bounds stay as they were at the start",
+    "restart the process to use a changed settings file",
+)
 
 # 200 to 299: membership, ownership and the log
 MEMBER_JOINED = Event(
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -83,6 +83,7 @@
         self._member = Member(VmId(boot.vm), boot.peer, surroundings)
         self._routes: RouteTable | None = None
         self._stop = False
+        self._reload = False
         self._config_offset = 0
         front = Front(
             self._member,
@@ -109,6 +110,10 @@
         """Begins a graceful shutdown."""
         self._stop = True
 
+    def ask_to_reload(self) -> None:
+        """Notes a request to reload, which changes nothing while running."""
+        self._reload = True
+
     async def run(self) -> None:
         """Serves until asked to stop."""
         self._journal.write(events.ENTRY_STARTED, vm=self._boot.vm, seat=self._boot.vm)
@@ -123,6 +128,9 @@
             self._tasks.append(await spawn_logged(self._journal, "metrics", page.run))
         while not self._stop:
             await curio.sleep(STOP_POLL_S)
+            if self._reload:
+                self._reload = False
+                self._journal.write(events.SETTINGS_KEPT)
         await self._shut_down()
         await self.close()
 
@@ -197,8 +205,7 @@
     entry = Entry(load_boot(), options["--metrics"] or "")
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: entry.ask_to_stop())
-    # The settings that a running process uses do not change with a reload.
-    signal.signal(signal.SIGHUP, lambda *_: None)
+    signal.signal(signal.SIGHUP, lambda *_: entry.ask_to_reload())
     curio.run(entry.run)
 
 
