Never refuse as not stored an id whose append may still take effect

Cause, found while writing docs/OPERATIONS.md: with the log silent one entry VM answered 504 and another one 503 to the next try of the same id; had the first append taken effect later, the job would have run after 'it never runs'. Change: entry VMs tell each other which ids are in doubt for 15 s; for those the append is tried until the client's deadline.

--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -1,5 +1,6 @@
 """Stores submissions and cancellations in batches, one append at a time."""
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 import curio
@@ -41,12 +42,20 @@
         log: The log.
         clock: Monotonic time.
         stored: Takes the records that were appended.
+        doubted: Takes the keys of an append without an answer.
     """
 
-    def __init__(self, log: KeyedLog, clock: Clock, stored):
+    def __init__(
+        self,
+        log: KeyedLog,
+        clock: Clock,
+        stored: Callable[[list[KeyedRecord]], Awaitable[None]],
+        doubted: Callable[[list[str]], Awaitable[None]],
+    ):
         self._log = log
         self._clock = clock
         self._stored = stored
+        self._doubted = doubted
         self._waiting: list[_Waiting] = []
         self._wake = curio.Event()
         self._failing_since: float | None = None
@@ -61,19 +70,23 @@
         since = self._failing_since
         return since is not None and now - since > OUTAGE_S
 
-    async def store(self, item: tuple[str, bytes], deadline: float) -> Submission:
+    async def store(
+        self, item: tuple[str, bytes], deadline: float, in_doubt: bool = False
+    ) -> Submission:
         """Appends an item and waits for the outcome.
 
         Args:
             item: Key and value.
             deadline: Monotonic time until which to try.
+            in_doubt: Whether an earlier append of the key may still take effect, so
+                that the item cannot be refused as not stored.
 
         Returns:
             ``UNKNOWN`` if an append without an answer may still take effect.
         """
-        if self.in_outage(self._clock.now()):
+        if self.in_outage(self._clock.now()) and not in_doubt:
             return Submission.NOT_STORED
-        waiting = _Waiting(*item, deadline)
+        waiting = _Waiting(*item, deadline, ambiguous=in_doubt)
         self._waiting.append(waiting)
         await self._wake.set()
         try:
@@ -82,6 +95,8 @@
         except curio.TaskTimeout:
             if waiting in self._waiting:
                 self._waiting.remove(waiting)
+            if waiting.in_flight:
+                await self._doubted([waiting.key])
             if waiting.in_flight or waiting.ambiguous:
                 return Submission.UNKNOWN
             return Submission.NOT_STORED
@@ -141,6 +156,9 @@
         now = self._clock.now()
         if self._failing_since is None:
             self._failing_since = now
+        newly = [w.key for w in batch if maybe_applied and not w.ambiguous]
+        if newly:
+            await self._doubted(newly)
         again = []
         for waiting in batch:
             waiting.in_flight = False
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -32,6 +32,7 @@
 from arbutusladder.messages import (
     AdviceCall,
     AdviceReply,
+    JobsInDoubt,
     JobsRelay,
     LogCall,
     LogEntry,
@@ -54,6 +55,9 @@
 OWNER_FOLLOW_S = 0.3
 # Seconds between greetings of the owner.
 HELLO_S = 0.5
+# Seconds for which an append without an answer may still take effect (the bench's
+# kinds: up to 12 s).
+DOUBT_S = 15.0
 # Entry VMs kept connected for calls of the log through them.
 MOST_HELPERS = 3
 RETRY_S = 0.2
@@ -112,9 +116,12 @@
             surroundings.clock,
             surroundings.metrics,
         )
-        self.appender = JobAppender(self.log, self._clock, self._jobs_stored)
+        self.appender = JobAppender(
+            self.log, self._clock, self._jobs_stored, self._doubted
+        )
         self.log.use(self.peers, self._helpers)
         self.members: list[MemberHello] = []
+        self._doubt_until_by_key: dict[str, float] = {}
         self._helpers_by_vm: dict[VmId, str] = {}
         self._jobs_offset = 0
         self._progress_offset = 0
@@ -157,7 +164,7 @@
         """Stores a job; a job with a known id is accepted as it is."""
         if self.table.phase(record.job_id) is not None:
             return Submission.ACCEPTED
-        return await self.appender.store(job_item(record), deadline)
+        return await self._store(job_item(record), deadline)
 
     async def cancel(self, job_id: JobId, deadline: float) -> Submission | None:
         """Stores a cancellation; returns None if there is no such job."""
@@ -166,7 +173,30 @@
             return None
         if phase.is_final:
             return Submission.ACCEPTED
-        return await self.appender.store(cancel_item(job_id), deadline)
+        return await self._store(cancel_item(job_id), deadline)
+
+    async def _store(self, item: tuple[str, bytes], deadline: float) -> Submission:
+        doubt_until = self._doubt_until_by_key.get(item[0], 0.0)
+        in_doubt = self._clock.now() < doubt_until
+        return await self.appender.store(item, deadline, in_doubt)
+
+    async def _doubted(self, keys: list[str]) -> None:
+        """Tells all entry VMs of appends that may still take effect.
+
+        Without it another one could refuse a client's next try as not stored,
+        although the job runs once the first append takes effect.
+        """
+        self._note_doubt(keys)
+        for member in self.members:
+            await self.peers.connect(SeatId(member.vm), member.listen)
+            await self.peers.send(SeatId(member.vm), JobsInDoubt(keys))
+
+    def _note_doubt(self, keys: list[str]) -> None:
+        now = self._clock.now()
+        for key, until in list(self._doubt_until_by_key.items()):
+            if now > until:
+                del self._doubt_until_by_key[key]
+        self._doubt_until_by_key.update(dict.fromkeys(keys, now + DOUBT_S))
 
     async def lookup(self, job_id: JobId) -> JobPhase | None:
         """Returns the state of a job, reading the log if it is not known yet.
@@ -311,6 +341,8 @@
                 await self._take_jobs(
                     [KeyedRecord(r.offset, r.key, r.value) for r in relay.records]
                 )
+            case JobsInDoubt() as doubt:
+                self._note_doubt(doubt.keys)
             case ProgressRelay() as relay:
                 self.take_phases(relay.offset, relay.states)
             case AdviceCall() as call:
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -469,6 +469,15 @@
     job: JobSpec
 
 
+@dataclass
+class JobsInDoubt:
+    """
+    Keys whose append got no answer and may still take effect.
+    """
+
+    keys: list[str]
+
+
 @dataclass
 class JobsRelay:
     """
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -60,6 +60,8 @@
         for number in range(self.size):
             await self.start_entry(number)
         await curio.sleep(1.0)
+        while any(not entry._member._helpers() for entry in self.entries[1:]):
+            await curio.sleep(0.05)
 
     async def start_entry(self, number):
         """Starts one entry VM."""
@@ -192,6 +194,19 @@
         assert (status, starts) == (503, [])
         assert int(retry_after) >= 1
 
+    def test_id_in_doubt_is_not_refused_by_another_entry_vm(self, tmp_path):
+        """Guards against 'never runs' for a job whose append may still arrive."""
+
+        async def scenario(cell):
+            await cell.call(0, "POST", PREFIX + "9" * 16, job())
+            cell.store.silent = True
+            first = await cell.call(0, "POST", PREFIX + "8" * 16, job())
+            second = await cell.call(1, "POST", PREFIX + "8" * 16, job())
+            other = await cell.call(1, "POST", PREFIX + "7" * 16, job())
+            return first.status, second.status, other.status
+
+        assert play(tmp_path, scenario) == (504, 504, 503)
+
     def test_start_without_an_answer_is_not_run_twice_at_once(self, tmp_path):
         """Guards against a second run while the first, unanswered, goes on."""
 
