--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -96,6 +96,8 @@
                 for peer in self._outbound_by_seat:
                     await group.spawn(self._send_to, peer)
         finally:
+            for sender in self._sender_by_seat.values():
+                await sender.cancel()
             self._close()
 
     async def connect(self, seat: SeatId, address: str) -> None:
