--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -5,7 +5,7 @@
 
 import curio
 
-from arbutusladder.cell.interfaces import KeyedLog, KeyedRecord
+from arbutusladder.cell.interfaces import KeyedLog, KeyedRecord, PositionLost
 from arbutusladder.cell.jobtable import JOBS_TOPIC
 from arbutusladder.cell.states import Submission
 from arbutusladder.clock import Clock
@@ -60,11 +60,6 @@
         self._wake = curio.Event()
         self._failing_since: float | None = None
 
-    @property
-    def failing_since(self) -> float | None:
-        """Monotonic time of the first failure after the last success."""
-        return self._failing_since
-
     def in_outage(self, now: float) -> bool:
         """Returns whether new items are refused because appends fail."""
         since = self._failing_since
@@ -119,8 +114,8 @@
                 await self._log.read(JOBS_TOPIC, 0)
             except LogUnavailable:
                 continue
-            except Exception as error:  # any answer shows that the log is back
-                del error
+            except PositionLost:
+                pass  # An answer, which shows that the log is back.
             self._failing_since = None
 
     async def _append_batch(self) -> None:
--- a/arbutusladder/cell/interfaces.py
+++ b/arbutusladder/cell/interfaces.py
@@ -116,7 +116,6 @@
         capacity: What it has.
         labels: Its kind and its rack.
         draining: Whether it takes no new tasks.
-        guards_capacity: Whether it rejects what does not fit.
     """
 
     vm: VmId
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -55,8 +55,6 @@
 # Seconds for which events gather before decisions are made.
 GATHER_S = 0.005
 RETRY_S = 0.2
-# Seconds for which a successor waits for the workers' first answers.
-FIRST_READ_S = 1.2
 # Seconds by which a replaced owner may still extend leases before it notices.
 PREDECESSOR_S = 3.0
 
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -13,15 +13,10 @@
 CLOCK_RATE_ERROR = 0.02
 # Seconds added to the end of a lease for the kill itself.
 LAPSE_MARGIN_S = 0.2
-# Seconds without an answer beyond the wait of a renewal after which a worker gets
-# no new tasks: several round trips between failure domains.
-SILENCE_S = 0.7
 # Failed runs in a row, of different jobs, after which a worker gets one task only.
 FAILURES_BEFORE_TRIAL = 3
 # Seconds after the last failure until a worker gets a trial task.
 TRIAL_PAUSE_S = 1.5
-# Seconds without new tasks after a worker rejected an order as unhealthy.
-UNHEALTHY_PAUSE_S = 0.5
 
 RunKey = tuple[str, int]
 
--- a/arbutusladder/httppool.py
+++ b/arbutusladder/httppool.py
@@ -1,7 +1,6 @@
 """HTTP requests over kept connections, by address."""
 
 from arbutusladder.clock import Clock
-from arbutusladder.errors import HttpError
 from arbutusladder.httpclient import HttpAnswer, HttpConnection
 from arbutusladder.messages import Header
 
@@ -52,8 +51,7 @@
                 server may have seen the request.
         """
         connection = await self._take(address)
-        fresh = connection is None
-        if fresh:
+        if connection is None:
             connection = await HttpConnection.connect(address, CONNECT_TIMEOUT_S)
         try:
             answer = await connection.exchange(method, path, headers, body, timeout)
@@ -85,6 +83,3 @@
             await connection.close()
             return
         idle.append((self._clock.now(), connection))
-
-
-__all__ = ["HttpError", "HttpPool"]
--- a/arbutusladder/platform/boot.py
+++ b/arbutusladder/platform/boot.py
@@ -22,30 +22,20 @@
 
 class _Bounds(_Wire):
     max_hold_ms: float = 6000.0
-    stop_ms: float = 500.0
-    gang_wait_ms: float = 3000.0
     grace_s: float = 6.0
 
 
-class _Limits(_Wire):
-    memory_mb: float = 256.0
-
-
 class _Store(_Wire):
     address: str
-    record_bytes: int = 262_144
-    request_bytes: int = 2_097_152
 
 
 class _Settings(_Wire):
     node: str
     ip: str
-    zone: str
     listen: _Listen
     port_range: list[int]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
-    limits: _Limits = msgspec.field(default_factory=_Limits)
     advice: str = ""
 
 
@@ -55,30 +45,22 @@
 
     Attributes:
         vm: Name of the entry VM.
-        failure_domain: Where it stands.
         front: Address for callers.
         ready: Address for the balancer's readiness checks.
         peer: Address for other entry VMs.
         store: Address of the platform's log.
         advice: Address of the placement advice service; empty for none.
-        request_bytes: Most bytes of one append.
         longest_lease_s: Longest lease that a worker grants.
-        stop_s: Longest duration of a stop.
-        gang_wait_s: Seconds for which a member of a gang waits for the others.
         grace_s: Seconds between SIGTERM and SIGKILL.
     """
 
     vm: str
-    failure_domain: str
     front: str
     ready: str
     peer: str
     store: str
     advice: str
-    request_bytes: int
     longest_lease_s: float
-    stop_s: float
-    gang_wait_s: float
     grace_s: float
 
 
@@ -102,15 +84,11 @@
         raise ConfigError(path, "$", str(error), remedy) from error
     return Boot(
         vm=raw.node,
-        failure_domain=raw.zone,
         front=raw.listen.front,
         ready=raw.listen.ready,
         peer=f"{raw.ip}:{raw.port_range[0]}",
         store=raw.platform.address,
         advice=raw.advice,
-        request_bytes=raw.platform.request_bytes,
         longest_lease_s=raw.bounds.max_hold_ms / 1000,
-        stop_s=raw.bounds.stop_ms / 1000,
-        gang_wait_s=raw.bounds.gang_wait_ms / 1000,
         grace_s=raw.bounds.grace_s,
     )
