--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -57,6 +57,9 @@
 RETRY_S = 0.2
 # Seconds by which a replaced owner may still extend leases before it notices.
 PREDECESSOR_S = 3.0
+# Seconds until a replaced owner that runs has met a worker that knows the new one:
+# a renewal's wait and its answer.
+NOTICE_S = 1.2
 
 # Answers to a repeated start that also tell what became of the first one.
 SETTLING_OUTCOMES = frozenset(
@@ -90,6 +93,8 @@
         self._placer = Placer(self.state)
         self._predecessor_silent = claim.silent_workers
         self._lease = min(LEASE_S, around.settings.longest_lease_s)
+        self._claimed_at = now
+        self._taken_over = False
         self._late = 0.0
         self._work = curio.Event()
         self._writer = ProgressWriter(
@@ -149,10 +154,19 @@
         ] + list(self.state.unread_until_by_vm)
 
     async def jobs_changed(self, job_ids: list[JobId]) -> None:
-        """Takes new jobs and cancellations from the log."""
+        """Takes new jobs and cancellations from the log.
+
+        During the takeover they wait in the table: the predecessor may have run
+        them, which only the progress read then tells. Shortly after it the
+        predecessor may still start new ones on workers that were not read.
+        """
+        if not self._taken_over:
+            return
         now = self._clock.now()
+        recent = now - self._claimed_at < NOTICE_S
+        inherited = recent and bool(self.state.unread_until_by_vm)
         for job_id in job_ids:
-            self._take_job(job_id, now, inherited=False)
+            self._take_job(job_id, now, inherited)
         await self._work.set()
 
     async def greeted(self, hello: MemberHello) -> None:
@@ -236,6 +250,7 @@
             self.state.unread_until_by_vm = {VmId(vm): latest for vm in vms}
         for worker in self.state.worker_by_vm.values():
             worker.assume_lease(latest)
+        self._taken_over = True
         await self._keep_workers()
         self._around.journal.write(
             events.CELL_READ,
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -137,9 +137,10 @@
     def lease_end(self, now: float, lease: float) -> float | None:
         """Returns the worker's clock at the end of a lease that starts now.
 
-        The end counts as granted, because the order may arrive unanswered.
+        The end counts as granted, because the order may arrive unanswered. A
+        worker that is silent is granted nothing, so that its leases do end.
         """
-        if self._clock is None:
+        if self._clock is None or self.silent_since is not None:
             return None
         until = self._clock + (now - self._clock_at) + lease
         lapse = (until - self._clock) * (1 + CLOCK_RATE_ERROR)
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -66,3 +66,14 @@
     def test_answered_start_is_sent_once(self):
         """Guards against needless orders."""
         assert start(OrderOutcome.NO_ROOM) is OrderOutcome.NO_ROOM
+
+
+class TestJobsDuringTakeover:
+    """Jobs that are read while the predecessor's progress is not."""
+
+    def test_job_waits_for_the_progress_of_the_predecessor(self):
+        """Guards against a second run of tasks that the predecessor finished."""
+        owner = Owner.__new__(Owner)
+        owner._taken_over = False
+        owner._take_job = None  # Must not be called.
+        curio.run(owner.jobs_changed, [loads.job_id(1)])
--- a/tests/cell/test_workers.py
+++ b/tests/cell/test_workers.py
@@ -85,3 +85,16 @@
         assert held.speed.stalled(NOW + 2.5)
         assert held.stands_still(stalled, NOW + 2.5)
         assert not held.speed.slow(NOW + 6.0)
+
+
+class TestSilentWorker:
+    """A worker that does not answer any more."""
+
+    def test_lease_ends_although_renewals_are_still_sent(self):
+        """Guards against tasks that are never placed again after a worker is gone."""
+        held = worker()
+        held.lease_end(NOW, 5.0)
+        held.unanswered(NOW + 1.0)
+        for second in range(1, 8):
+            assert held.lease_end(NOW + second, 5.0) is None
+        assert held.lapsed(NOW + 5.0 * 1.02 + 0.3)
