Keep handling messages of entry VMs after one that cannot be handled

Cause: an exception of the message handler, and the ZeroMQ error for a malformed address in a hello, ended the receiving task and with it the whole process. Found by reading, for 'one malformed message took a whole process down'. Change: the transport drops and counts the message (peers.handler_failed, peers.invalid_address) and logs the failure. Both new tests of tests/test_peers.py fail before and pass after.

--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -10,6 +10,7 @@
 
 import curio
 
+from arbutusladder.backgroundtasks import log_failure
 from arbutusladder.cell.appender import JobAppender
 from arbutusladder.cell.claimmanager import ClaimManager
 from arbutusladder.cell.forwardinglog import ForwardingLog
@@ -153,6 +154,7 @@
             self._handle_message,
             dependencies.clock,
             dependencies.metrics,
+            lambda error: log_failure(dependencies.journal, "message handler", error),
         )
         self.appender = JobAppender(
             self.log, self._clock, self._on_jobs_stored, self._announce_in_doubt
--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -65,6 +65,7 @@
             time; it must not wait for long.
         clock: Clock of this process.
         metrics: Counters.
+        on_error: Called with an exception of the handler, whose message is dropped.
 
     Attributes:
         address: Address and port on which this process listens.
@@ -78,9 +79,11 @@
         handler: MessageHandler,
         clock: Clock,
         metrics: Metrics,
+        on_error: Callable[[Exception], None] = lambda error: None,
     ):
         self._seat = seat
         self._handler = handler
+        self._on_error = on_error
         self._clock = clock
         self._metrics = metrics
         self._context = zmq.Context(io_threads=1)
@@ -109,17 +112,25 @@
                 await send_task.cancel()
             self._close()
 
-    async def connect(self, seat: SeatId, address: str) -> None:
+    async def connect(self, seat: SeatId, address: str) -> bool:
         """Adds a peer, or changes its address.
 
         Messages queued for the old address are dropped.
+
+        Returns:
+            Whether the address is valid; a peer with an invalid one is not added.
         """
         if self._address_by_seat.get(seat) == address:
-            return
+            return True
         await self.disconnect(seat)
-        self._add_peer(seat, address)
+        try:
+            self._add_peer(seat, address)
+        except zmq.ZMQError:
+            self._metrics.count("peers.invalid_address")
+            return False
         send_task = await curio.spawn(self._send_to, seat, daemon=True)
         self._send_task_by_seat[seat] = send_task
+        return True
 
     async def disconnect(self, seat: SeatId) -> None:
         """Removes a peer that was added by `connect`."""
@@ -227,12 +238,21 @@
             except ProtocolError:
                 self._metrics.count("peers.malformed")
                 continue
+            await self._handle(received)
+
+    async def _handle(self, received: ReceivedMessage) -> None:
+        # Other messages must be handled even if one has content that the handler does
+        # not expect; the sender's timeout covers the dropped one.
+        try:
             await self._handler(received)
+        except Exception as error:
+            self._metrics.count("peers.handler_failed")
+            self._on_error(error)
 
     def _add_peer(self, peer: SeatId, address: str) -> None:
+        self._push_socket_by_seat[peer] = _create_push_socket(self._context, address)
         self._address_by_seat[peer] = address
         self._queue_by_seat[peer] = curio.Queue(maxsize=MAX_QUEUED_MESSAGES)
-        self._push_socket_by_seat[peer] = _create_push_socket(self._context, address)
 
     def _decode(self, data: bytes) -> ReceivedMessage:
         sender, sent_at, message = codec.unpack_envelope(data)
@@ -283,7 +303,11 @@
     sock.setsockopt(zmq.IMMEDIATE, 1)
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
-    sock.connect(f"tcp://{address}")
+    try:
+        sock.connect(f"tcp://{address}")
+    except zmq.ZMQError:
+        sock.close(linger=0)
+        raise
     return sock
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -124,3 +124,39 @@
 
         assert curio.run(pair.run, scenario) is False
         assert pair.metrics.count_by_name["peers.late_answer"] == 1
+
+
+class TestUnexpectedMessages:
+    """Pattern: a message that no version of the code sends reaches an entry VM."""
+
+    def test_failing_handler_does_not_stop_the_transport(self):
+        """Guards against one message that ends the whole process."""
+        pair = TransportPair()
+        answer_message = pair.b._handler
+        calls = []
+
+        async def fail_first(received):
+            calls.append(received)
+            if len(calls) == 1:
+                raise ValueError("unexpected content")
+            await answer_message(received)
+
+        pair.b._handler = fail_first
+        failures = []
+        pair.b._on_error = failures.append
+        answer = curio.run(pair.run, lambda: call_until_answered(pair.a, "b"))
+        assert answer.accepted
+        assert [str(error) for error in failures] == ["unexpected content"]
+
+    def test_peer_with_a_malformed_address_is_not_added(self):
+        """Guards against an address in a hello that ends the whole process."""
+        pair = TransportPair()
+
+        async def scenario():
+            connected = await pair.a.connect("c", "no address")
+            sent = await pair.a.send("c", DrainVm("r", "vm-1", True))
+            return connected, sent, await call_until_answered(pair.a, "b")
+
+        connected, sent, answer = curio.run(pair.run, scenario)
+        assert (connected, sent) == (False, False)
+        assert answer.accepted
