Measure a worker's speed by the other runs of the step, and let gangs finish

A member of a gang that has reached 100 % waits for the others; it counted as stalled, its gang was broken and waited up to 50 s for room again. Estimates are wrong by a factor of 2.5 and percentages are whole numbers, so sound workers counted as slow and got no tasks. Change: finished runs are not judged; a run is compared with the median of the step's runs, and without three of those with 2.5 times the estimate; observations are at least 0.4 s long; a run is moved only once its stall has cost as much as the move would. Steps record what they wait for; event 468 shows it and 'arbutusladder waits' adds it up by queue. Both new tests of tests/cell/test_placement.py fail on the code before.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -334,6 +334,7 @@
             stage.spec.need if not stage.spec.fills else _memory_only(stage),
             phase,
             now,
+            from_start=phase is RunPhase.SENT,
             progressed_at=now,
             observed_at=now,
         )
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -12,7 +12,7 @@
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
 from arbutusladder.cell.stages import Stage
-from arbutusladder.cell.states import RunPhase
+from arbutusladder.cell.states import RunPhase, WaitCause
 from arbutusladder.cell.steppriority import is_urgent, priority_key
 from arbutusladder.cell.workers import Run, Worker
 from arbutusladder.cell.workerselection import (
@@ -101,6 +101,7 @@
     def __init__(self, cell: CellState):
         self._cell = cell
         self.load = LoadSummary()
+        self._last_round_at: float | None = None
 
     def decide(self, now: float, advice: AdviceCapacity) -> list[Order]:
         """Returns the orders to send now and reserves resources for every start.
@@ -123,6 +124,8 @@
         nonurgent_cpu = free - total * URGENT_RESERVE
         this_round = DecisionRound(now, workers, nonurgent_cpu, advice, set())
         waiting = self._waiting_stages(now)
+        since_last_round_s = now - (self._last_round_at or now)
+        self._last_round_at = now
         for stage in waiting:
             placed = self._place_stage(stage, this_round)
             orders += placed
@@ -135,7 +138,11 @@
                     seconds=now - stage.job.accepted_at,
                     waiting=len(waiting),
                     placed=_format_starts(starts),
+                    waits=_format_waits(stage.take_waits()),
                 )
+            else:
+                cause = _wait_cause(stage)
+                stage.record_wait(cause, since_last_round_s)
         self.load = LoadSummary(
             len(self._cell.job_by_id), len(waiting), free, total, len(workers)
         )
@@ -345,6 +352,22 @@
         return [AdviceOrder(stage.key, vms, expected_s)]
 
 
+def _wait_cause(stage: Stage) -> WaitCause:
+    """Returns what a step waits for that was not started in a round."""
+    if stage.plan:
+        return WaitCause.TICKETS
+    if needs_advice(stage) and not stage.advice.ticket_by_vm:
+        return WaitCause.ADVICE if stage.advice.call_pending else WaitCause.CALLER
+    return WaitCause.ROOM
+
+
+def _format_waits(wait_s_by_cause: dict[WaitCause, float]) -> str:
+    """Formats the seconds waited for each cause for the event log."""
+    return " ".join(
+        f"{cause.value}={seconds:.2f}" for cause, seconds in wait_s_by_cause.items()
+    )
+
+
 def _format_starts(starts: list[StartOrder]) -> str:
     """Formats task index, run number and worker of each start for the event log."""
     return " ".join(
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -101,10 +101,8 @@
             run.phase, run.changed_at = RunPhase.RUNNING, now
             run.progressed_at = run.observed_at = now
         if stage:
-            lasting = stage.spec.lasting
-            worker.record_progress(
-                run, row.percent, 0.0 if lasting else stage.spec.estimate_s, now
-            )
+            expected_s = stage.expected_duration_s(now)
+            worker.record_progress(run, row.percent, expected_s, now)
             self._stop_if_stalled(worker, run, stage, now)
         if stage and row.saved and index < len(stage.tasks):
             stage.tasks[index].checkpoint = row.saved
@@ -119,7 +117,8 @@
         """
         work_is_kept = not stage.spec.gang or stage.spec.checkpoints
         movable = work_is_kept and not stage.spec.lasting and not run.stop_wanted
-        if movable and worker.is_run_stalled(run, now):
+        timeout_s = stage.stall_timeout_s(run, now)
+        if movable and worker.is_run_stalled(run, timeout_s, now):
             run.stop_wanted = True
             self._cell.record_event(
                 events.STALLED_RUN_MOVED, task=run.task, run=run.number, worker=run.vm
--- a/arbutusladder/cell/simulation.py
+++ b/arbutusladder/cell/simulation.py
@@ -8,6 +8,7 @@
 import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from arbutusladder.cell.advicecalls import LONG_CALL_THRESHOLD_S, AdviceCapacity
 from arbutusladder.cell.advicedispatcher import MAX_LONG_CALL_SHARE
@@ -51,6 +52,7 @@
     need: Resources
     started_at: float
     ends_at: float
+    gang: tuple[str, int] | None = None
 
     def percent(self, now: float) -> float:
         """Returns the completed percentage of the work."""
@@ -80,7 +82,12 @@
     _end_numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
     def start(
-        self, order: StartOrder, need: Resources, now: float, duration: float
+        self,
+        order: StartOrder,
+        need: Resources,
+        now: float,
+        duration: float,
+        gang: tuple[str, int] | None = None,
     ) -> None:
         """Starts a task.
 
@@ -89,10 +96,11 @@
             need: Resources of the task.
             now: Virtual time in seconds.
             duration: Duration of the task in seconds.
+            gang: Step and run number that the members of a gang share.
         """
         starts_at = max(now, self.stalled_until)
         self.running[(order.task, order.run)] = _SimulatedRun(
-            order.task, order.run, need, starts_at, starts_at + duration
+            order.task, order.run, need, starts_at, starts_at + duration, gang
         )
         cpu = sum(run.need.cpu for run in self.running.values())
         memory = sum(run.need.memory_mb for run in self.running.values())
@@ -156,6 +164,7 @@
         self._active_calls = 0
         self._active_long_calls = 0
         self.advice_s = 0.0
+        self._vms_by_gang: dict[tuple[str, int], set[VmId]] = {}
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._sequence = itertools.count()
         for vm in self.worker_by_vm:
@@ -226,8 +235,11 @@
         if not worker.responsive or stage is None:
             return
         duration = self._duration(order.task, order.vm)
-        worker.start(order, stage.spec.need, self.now, duration)
+        gang = (stage.key, order.run) if stage.spec.gang else None
+        worker.start(order, stage.spec.need, self.now, duration, gang)
         key = (order.task, order.run)
+        if gang:
+            self._vms_by_gang.setdefault(gang, set()).add(order.vm)
         self._schedule_after(duration, lambda: self._end(order.vm, key))
         answer = OrderAnswer(OrderOutcome.ACCEPTED, self.now)
         self._schedule_after(
@@ -235,21 +247,46 @@
         )
 
     def _stop(self, order: StopOrder) -> None:
-        self.worker_by_vm[order.vm].end((order.task, order.run), EndKind.STOPPED)
+        worker = self.worker_by_vm[order.vm]
+        run = worker.running.get((order.task, order.run))
+        worker.end((order.task, order.run), EndKind.STOPPED)
+        if run and run.gang:
+            self._end_gang(run.gang, EndKind.BROKEN)
         answer = OrderAnswer(OrderOutcome.ACCEPTED, self.now)
         self.state.apply_stop_answer(order, answer, self.now)
         self._schedule_after(ONE_WAY_S, lambda: self._report(order.vm))
 
     def _end(self, vm: VmId, key: tuple[str, int]) -> None:
-        """Ends a run, or reschedules its end if a stall has delayed it."""
+        """Ends a run, or reschedules its end if a stall has delayed it.
+
+        The members of a gang end together, once the slowest of them has finished.
+        """
         worker = self.worker_by_vm[vm]
         run = worker.running.get(key)
-        if run and run.ends_at > self.now + TIME_STEP_S:
-            self._schedule_after(run.ends_at - self.now, lambda: self._end(vm, key))
+        if run is None:
+            return
+        ends_at = run.ends_at
+        if run.gang:
+            ends_at = max(other.ends_at for _, other in self._gang_members(run.gang))
+        if ends_at > self.now + TIME_STEP_S:
+            self._schedule_after(ends_at - self.now, lambda: self._end(vm, key))
             return
         worker.end(key, self._end_kind(key[0], vm))
         self._schedule_after(ONE_WAY_S, lambda: self._report(vm))
 
+    def _gang_members(self, gang: tuple[str, int]) -> list[tuple[VmId, _SimulatedRun]]:
+        return [
+            (vm, run)
+            for vm in self._vms_by_gang[gang]
+            for run in self.worker_by_vm[vm].running.values()
+            if run.gang == gang
+        ]
+
+    def _end_gang(self, gang: tuple[str, int], how: EndKind) -> None:
+        for vm, run in self._gang_members(gang):
+            self.worker_by_vm[vm].end((run.task, run.run), how)
+            self._schedule_after(ONE_WAY_S, partial(self._report, vm))
+
     def _renew_lease(self, vm: VmId) -> None:
         self._report(vm)
         self._schedule_after(RENEWAL_INTERVAL_S, lambda: self._renew_lease(vm))
--- a/arbutusladder/cell/speed.py
+++ b/arbutusladder/cell/speed.py
@@ -1,14 +1,21 @@
 """Estimates of worker speed from the progress of their runs."""
 
+from __future__ import annotations
+
 import math
+import statistics
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from arbutusladder.cell.workers import Run
 
-# Shortest time in seconds between two observations of a run.
-MIN_OBSERVATION_S = 0.2
+# Shortest time in seconds between two observations of a run. Workers report whole
+# percentages, so shorter ones of long tasks would often show no progress.
+MIN_OBSERVATION_S = 0.4
 # Time constant of the moving average in seconds; a few observations dominate it.
 SMOOTHING_S = 0.6
-# Bounds of one observation, relative to the speed that the job's estimate implies.
-# Estimates are off by up to a factor of about three.
+# Bounds of one observation.
 MIN_OBSERVED_SPEED, MAX_OBSERVED_SPEED = 0.02, 2.0
 # Relative speeds below which a worker counts as slow or stalled.
 SLOW_THRESHOLD = 0.3
@@ -17,15 +24,50 @@
 RETRY_AFTER_S = 2.0
 # Lowest relative speed assumed then; it is above the threshold for slow workers.
 RETRY_SPEED = 0.45
-# Seconds without progress after which a run on a stalled worker is stopped.
+# Shortest time in seconds without progress after which a run on a stalled worker is
+# stopped.
 STALL_TIMEOUT_S = 0.7
+# Factor by which tasks may take longer than estimated. Without other runs of the step
+# to compare with, a run counts as slow only beyond it.
+ESTIMATE_ERROR_FACTOR = 2.5
+# Runs of a step whose durations replace the estimate.
+MIN_COMPARED_RUNS = 3
+# Completed percentage from which a run's duration can be extrapolated.
+MIN_PERCENT_TO_EXTRAPOLATE = 10.0
+# Completed percentage from which a run counts as finished: a member of a gang then
+# waits for the others.
+FINISHED_PERCENT = 99.0
+
+
+def extrapolated_duration_s(run: Run) -> float | None:
+    """Returns the duration of a run by its progress; None if that is not known yet."""
+    elapsed_s = run.observed_at - run.changed_at
+    if not run.from_start or elapsed_s <= 0:
+        return None
+    if not MIN_PERCENT_TO_EXTRAPOLATE <= run.percent < FINISHED_PERCENT:
+        return None
+    return elapsed_s * 100.0 / run.percent
+
+
+def expected_duration_s(estimate_s: float, runs: list[Run]) -> float:
+    """Returns the duration that a sound worker may take for a task of a step.
+
+    Args:
+        estimate_s: Estimated duration in seconds.
+        runs: Active runs of the step.
+    """
+    durations = [extrapolated_duration_s(run) for run in runs]
+    known = [seconds for seconds in durations if seconds is not None]
+    if len(known) >= MIN_COMPARED_RUNS:
+        return statistics.median(known)
+    return estimate_s * ESTIMATE_ERROR_FACTOR
 
 
 @dataclass(slots=True)
 class SpeedEstimate:
     """Moving average of a worker's relative speed, on a logarithmic scale.
 
-    A relative speed of 1 means that runs take as long as estimated.
+    A relative speed of 1 means that runs take as long as expected.
     """
 
     _log_speed: float = 0.0
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -1,8 +1,12 @@
 """Jobs in the owner's state, with the steps and tasks of their occurrences."""
 
+from __future__ import annotations
+
+import math
 from dataclasses import dataclass, field
 
-from arbutusladder.cell.states import JobPhase
+from arbutusladder.cell.speed import STALL_TIMEOUT_S, expected_duration_s
+from arbutusladder.cell.states import JobPhase, WaitCause
 from arbutusladder.cell.workers import Run
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import (
@@ -18,6 +22,10 @@
 OBJECTIVE_ADVICE_WORKERS = 30
 # A job still earns partial credit until this multiple of its time objective.
 LATE_OBJECTIVE_FACTOR = 3.0
+# Seconds for which the expected duration of a step is not computed again.
+DURATION_VALIDITY_S = 0.5
+# Longest time in seconds without progress until a run is moved.
+MAX_STALL_TIMEOUT_S = 3.0
 # Seconds subtracted from a ticket's validity for the delivery of the start order.
 TICKET_MARGIN_S = 0.2
 
@@ -104,10 +112,13 @@
         due_at: Monotonic time in seconds before which it must not start.
         plan: Index and worker of each task of a gang that waits for tickets; the
             workers' resources are reserved.
+        restart_wait_s: Seconds that its last start waited for room, which a restart is
+            expected to wait again.
+        wait_s_by_cause: Seconds waited since the last start of the step, by cause.
     """
 
     key: str
-    job: "Job"
+    job: Job
     occurrence: int
     step: int
     spec: StepSpec
@@ -115,6 +126,10 @@
     tasks: list[Task]
     advice: Advice = field(default_factory=Advice)
     plan: list[tuple[int, VmId]] = field(default_factory=list)
+    restart_wait_s: float = 0.0
+    wait_s_by_cause: dict[WaitCause, float] = field(default_factory=dict)
+    _expected_s: float = 0.0
+    _expected_at: float = -math.inf
 
     @property
     def done(self) -> bool:
@@ -140,6 +155,39 @@
             return max(task.last_run for task in self.tasks) + 1
         return self.tasks[index].last_run + 1
 
+    def record_wait(self, cause: WaitCause, seconds: float) -> None:
+        """Adds to the time that the step has waited for a cause."""
+        self.wait_s_by_cause[cause] = self.wait_s_by_cause.get(cause, 0.0) + seconds
+
+    def take_waits(self) -> dict[WaitCause, float]:
+        """Returns the seconds waited since the last start by cause, and resets them."""
+        waits, self.wait_s_by_cause = self.wait_s_by_cause, {}
+        self.restart_wait_s = waits.get(WaitCause.ROOM, 0.0)
+        return waits
+
+    def expected_duration_s(self, now: float) -> float:
+        """Returns the seconds that a sound worker may take; 0 without expected end."""
+        if self.spec.lasting:
+            return 0.0
+        if now - self._expected_at > DURATION_VALIDITY_S:
+            self._expected_s = expected_duration_s(
+                self.spec.estimate_s, self.active_runs
+            )
+            self._expected_at = now
+        return self._expected_s
+
+    def stall_timeout_s(self, run: Run, now: float) -> float:
+        """Returns the seconds without progress after which a run should be moved.
+
+        A move costs the work that is not saved and, for a gang, another wait for room.
+        A stall is assumed to last as long again as it has lasted, so that a run is
+        moved only once the stall has lost as much time as the move would.
+        """
+        lost_s = 0.0 if self.spec.checkpoints else run.progressed_at - run.changed_at
+        if self.spec.gang:
+            lost_s += self.restart_wait_s
+        return min(MAX_STALL_TIMEOUT_S, max(STALL_TIMEOUT_S, lost_s))
+
     def task_name(self, index: int) -> str:
         """Returns the name of a task."""
         return f"{self.key}.{index}"
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -64,6 +64,20 @@
     UNKNOWN = "unknown"
 
 
+class WaitCause(Enum):
+    """What a step that is ready to start waits for.
+
+    ``CALLER`` is an idle entry VM for a call to the advice service, ``ADVICE`` the
+    reply to such a call, ``TICKETS`` the renewal of tickets for the planned start of a
+    gang and ``ROOM`` free resources on workers that may run the step.
+    """
+
+    CALLER = "caller"
+    ADVICE = "advice"
+    TICKETS = "tickets"
+    ROOM = "room"
+
+
 class SubmissionOutcome(Enum):
     """Outcome of a job submission."""
 
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -3,7 +3,11 @@
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.interfaces import WorkerEntry
-from arbutusladder.cell.speed import MIN_OBSERVATION_S, STALL_TIMEOUT_S, SpeedEstimate
+from arbutusladder.cell.speed import (
+    FINISHED_PERCENT,
+    MIN_OBSERVATION_S,
+    SpeedEstimate,
+)
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import Resources
@@ -36,6 +40,7 @@
         need: Resources reserved on the worker until the run has ended.
         phase: State of the run as known to the owner.
         changed_at: Monotonic time in seconds of the last change of the phase.
+        from_start: Whether this owner observed the run from its start.
         percent: Completed percentage of its work.
         progressed_at: Monotonic time in seconds at which the percentage last rose.
         observed_at: Monotonic time in seconds of the last observed percentage.
@@ -55,6 +60,7 @@
     need: Resources
     phase: RunPhase
     changed_at: float
+    from_start: bool = True
     percent: float = 0.0
     progressed_at: float = 0.0
     observed_at: float = 0.0
@@ -204,34 +210,42 @@
         return self.failures >= FAILURES_BEFORE_TRIAL and len(self.failed_jobs) > 1
 
     def record_progress(
-        self, run: Run, percent: float, estimate_s: float, now: float
+        self, run: Run, percent: float, expected_s: float, now: float
     ) -> None:
         """Records the progress of a run and updates the worker's speed.
 
-        Observations that follow the previous one too closely are ignored.
+        Observations that follow the previous one too closely are ignored, and so is a
+        finished run, which may wait for the other members of its gang.
 
         Args:
             run: The run.
             percent: Completed percentage of its work.
-            estimate_s: Estimated duration in seconds; 0 for long-running tasks.
+            expected_s: Expected duration in seconds; 0 if the run has no expected end.
             now: Monotonic time in seconds.
         """
         seconds = now - run.observed_at
         if seconds < MIN_OBSERVATION_S:
             return
         gained = percent - run.percent
-        if estimate_s > 0:
-            speed = max(0.0, gained) / 100.0 * estimate_s / seconds
+        finished = percent >= FINISHED_PERCENT
+        if expected_s > 0 and not finished:
+            speed = max(0.0, gained) / 100.0 * expected_s / seconds
             self.speed.observe(speed, seconds, now)
-        if gained > 0:
+        if gained > 0 or finished:
             run.progressed_at = now
         run.percent, run.observed_at = percent, now
 
-    def is_run_stalled(self, run: Run, now: float) -> bool:
-        """Returns whether a run makes no progress and its worker is stalled."""
+    def is_run_stalled(self, run: Run, timeout_s: float, now: float) -> bool:
+        """Returns whether a run makes no progress and its worker is stalled.
+
+        Args:
+            run: The run.
+            timeout_s: Seconds without progress from which it counts as stalled.
+            now: Monotonic time in seconds.
+        """
         return (
             run.phase is RunPhase.RUNNING
-            and now - run.progressed_at > STALL_TIMEOUT_S
+            and now - run.progressed_at > timeout_s
             and self.speed.is_stalled(now)
         )
 
--- a/arbutusladder/cmdline.py
+++ b/arbutusladder/cmdline.py
@@ -41,6 +41,7 @@
         "Checks the platform's settings and the deploy file.",
     ),
     "trace": ("arbutusladder.jobtrace", "Shows the history of one job from logs."),
+    "waits": ("arbutusladder.jobwaits", "Shows where jobs spend their time from logs."),
 }
 
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -162,7 +162,7 @@
     468,
     Level.INFO,
     "step {step} started {tasks} tasks, first known {seconds:.3f} s before; "
-    "{waiting} steps waited; index:run@worker {placed}",
+    "{waiting} steps waited; index:run@worker {placed}; waited for {waits}",
 )
 OWNER_LOAD = Event(
     469,
--- a/arbutusladder/jobtrace.py
+++ b/arbutusladder/jobtrace.py
@@ -65,10 +65,10 @@
     text: str
     fields: dict[str, object]
 
-    def concerns_job(self, job_id: str) -> bool:
-        """Returns whether a field holds the id of the job or of its step or task."""
+    def job_id(self) -> str:
+        """Returns the id of the job that the event concerns, or an empty text."""
         names = (str(self.fields.get(name, "")) for name in ID_FIELDS)
-        return any(name.split(".", 1)[0] == job_id for name in names)
+        return next((name.split(".", 1)[0] for name in names if name), "")
 
 
 def parse_log_lines(lines: Iterable[str]) -> tuple[list[LoggedEvent], int]:
@@ -128,17 +128,22 @@
     return float(value) if isinstance(value, int | float) else 0.0
 
 
+def correct_clocks(logged: list[LoggedEvent]) -> list[LoggedEvent]:
+    """Returns the events with the offsets of the processes' clocks subtracted."""
+    offset_by_source = estimate_clock_offsets(logged)
+    return [
+        replace(entry, at=entry.at - offset_by_source.get(entry.source, 0.0))
+        for entry in logged
+    ]
+
+
 def trace_job(logged: list[LoggedEvent], job_id: str) -> list[LoggedEvent]:
     """Returns the events of a job, and those of the cell meanwhile, ordered by time.
 
     Clock offsets are corrected.
     """
-    offset_by_source = estimate_clock_offsets(logged)
-    corrected = [
-        replace(entry, at=entry.at - offset_by_source.get(entry.source, 0.0))
-        for entry in logged
-    ]
-    job_events = [entry for entry in corrected if entry.concerns_job(job_id)]
+    corrected = correct_clocks(logged)
+    job_events = [entry for entry in corrected if entry.job_id() == job_id]
     if not job_events:
         return []
     first = min(entry.at - _get_duration_s(entry) for entry in job_events)
@@ -190,6 +195,21 @@
     return lines
 
 
+def read_log_files(paths: list[str]) -> list[LoggedEvent]:
+    """Returns the events in log files; reports skipped lines on standard error.
+
+    Raises:
+        OSError: A file cannot be read.
+    """
+    lines: list[str] = []
+    for path in paths:
+        lines += Path(path).read_text(encoding="utf-8", errors="replace").split("\n")
+    logged, skipped_count = parse_log_lines(lines)
+    if skipped_count:
+        print(f"ignored {skipped_count} lines without an event", file=sys.stderr)
+    return logged
+
+
 def main(argv: list[str]) -> int:
     """Prints the trace of a job; returns the exit code."""
     try:
@@ -197,21 +217,13 @@
     except DocoptExit as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
-    job_id, lines = options["ID"], []
-    for path in options["FILE"]:
-        try:
-            lines += (
-                Path(path).read_text(encoding="utf-8", errors="replace").split("\n")
-            )
-        except OSError as error:
-            print(
-                escape_unprintable(f"error: {path}: {error}; name a log file"),
-                file=sys.stderr,
-            )
-            return ExitCode.USAGE
-    logged, skipped_count = parse_log_lines(lines)
-    if skipped_count:
-        print(f"ignored {skipped_count} lines without an event", file=sys.stderr)
+    job_id = options["ID"]
+    try:
+        logged = read_log_files(options["FILE"])
+    except OSError as error:
+        text = f"error: {error.filename}: {error.strerror}; name a log file"
+        print(escape_unprintable(text), file=sys.stderr)
+        return ExitCode.USAGE
     trace = trace_job(logged, job_id)
     if not trace:
         text = f"error: no event of job {job_id}; give the logs of all entry VMs"
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -194,3 +194,50 @@
         )
         assert result.earned_share("quotes") > 0.95
         assert result.total_earned_share() > 0.64
+
+
+class TestGangsWithUnevenMembers:
+    """Pattern: members of a gang finish at different times and wait for the slowest."""
+
+    def test_finished_members_are_not_moved(self):
+        """Guards against a gang that is restarted because some members are done."""
+        slowest_s = {0: 4.0, 1: 9.0}
+        simulation = Simulation(
+            workloads.workers(),
+            lambda task, vm: slowest_s.get(int(task.rpartition(".")[2]), 6.0),
+        )
+        step = workloads.StepSpec(
+            8, workloads.Resources(18.0, 1000.0), 6.2, gang=True, checkpoints=True
+        )
+        simulation.submit_at(
+            0, workloads.job(job_number(3, 0), workloads.RESIDUALS, step)
+        )
+        simulation.run(12)
+        assert len(simulation.started) == 8
+        assert simulation.turnaround_s(workloads.job_id(job_number(3, 0))) < 9.5
+
+
+class TestWrongEstimates:
+    """Pattern: declared run times are far below the actual ones."""
+
+    def test_workers_of_underestimated_tasks_accept_other_tasks(self):
+        """Guards against sound workers that count as slow and stay half empty."""
+        simulation = Simulation(
+            workloads.workers(count=2),
+            lambda task, vm: 9.0 if task[0] == "3" else QUOTE_S,
+        )
+        step = workloads.StepSpec(
+            10, workloads.Resources(10.0, 1000.0), 2.0, gang=True, checkpoints=True
+        )
+        simulation.submit_at(
+            0, workloads.job(job_number(3, 0), workloads.RESIDUALS, step)
+        )
+        quotes = [workloads.quote(job_number(1, index)) for index in range(8)]
+        for index, quote in enumerate(quotes):
+            simulation.submit_at(3 + index * 0.5, quote)
+        simulation.run(10)
+        assert len(simulation.started) == 10 + 2 * len(quotes)
+        assert all(
+            simulation.turnaround_s(quote.job_id) < 1.5 * QUOTE_S + 0.25
+            for quote in quotes
+        )
