Tolerate malformed reports, records and headers, and notice a dead owner sooner

An owner whose takeover fails releases the claim instead of claiming again at once.

A member first read the claim 0.75 s after the last heartbeat and counted the claim's age from there; a restarted one waited 0.75 s for a heartbeat first. Now heartbeats carry the sequence number of the newest renewal, so that the age counts from the last heartbeat if none followed; the claim is read 0.55 s after it, at once after a restart, and at once when the jobs are loaded.

The new tests fail on the code before.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -25,6 +25,7 @@
     stage_key,
 )
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
+from arbutusladder.cell.tasknames import parse_task_name
 from arbutusladder.cell.workers import Run, Worker
 from arbutusladder.events import Event
 from arbutusladder.ids import JobId, VmId
@@ -472,8 +473,12 @@
 
     def find_task(self, task: str) -> tuple[Stage | None, int]:
         """Returns the step of a task, if it is known, and the task's index in it."""
-        key, _, index = task.rpartition(".")
-        return self.stage(key), int(index) if index.isdigit() else 0
+        name = parse_task_name(task)
+        if name is None:
+            return None, 0
+        return self.stage(
+            stage_key(name.job_id, name.occurrence, name.step)
+        ), name.index
 
 
 def _memory_only(stage: Stage) -> Resources:
--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import curio
@@ -26,7 +27,7 @@
     from arbutusladder.cell.member import CellDependencies, Member
 
 # Seconds without a heartbeat after which the owner is suspected to have failed.
-HEARTBEAT_TIMEOUT_S = 3 * HEARTBEAT_INTERVAL_S
+HEARTBEAT_TIMEOUT_S = 2.2 * HEARTBEAT_INTERVAL_S
 # Seconds between reads of the claim while the owner is suspected or there is none.
 SUSPECT_POLL_INTERVAL_S = 0.25
 # Seconds between reads of the claim while the owner's heartbeats arrive.
@@ -62,7 +63,7 @@
             member.vm, claim_delay_s=UNDERSIZED_CLAIM_DELAY_S if undersized else 0.0
         )
         self._stopping = False
-        self._last_heartbeat_at = self._clock.now()
+        self._last_heartbeat_at = -math.inf
         self._poll_now = False
         self._backoff_until = 0.0
         self._owner_task: curio.Task | None = None
@@ -91,14 +92,17 @@
                 self._dependencies.metrics.count("claims.log_unavailable")
             await self._wait_for_next_poll()
 
+    def poll_soon(self) -> None:
+        """Reads the claim at once instead of at the next poll."""
+        self._poll_now = True
+
     async def handle_heartbeat(self, heartbeat: OwnerBeat) -> None:
         """Handles a heartbeat of the owner; ignores one of an earlier epoch."""
         claim = self._view.claim
         if claim and heartbeat.epoch < claim.epoch:
             return
         self._last_heartbeat_at = self._clock.now()
-        if heartbeat.released and claim:
-            self._view.released_epoch = heartbeat.epoch
+        self._view.record_heartbeat(heartbeat, self._last_heartbeat_at)
         self._poll_now |= (
             heartbeat.released or claim is None or heartbeat.epoch > claim.epoch
         )
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -10,7 +10,7 @@
 
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.ids import Epoch, VmId
-from arbutusladder.messages import CellClaim
+from arbutusladder.messages import CellClaim, OwnerBeat
 
 OWNER_TOPIC = "keyed.owner"
 OWNER_KEY = "owner"
@@ -19,6 +19,9 @@
 # Seconds without a renewal after which another entry VM may claim: two missed renewals
 # and the calls of the log that read them.
 CLAIM_TIMEOUT_S = 1.1
+# Seconds without a renewal that an entry VM has to observe itself, even if the owner's
+# last heartbeat shows that there was none for longer.
+MIN_OBSERVED_S = 0.5
 # Seconds for which an undersized entry VM lets others claim first: time for them to
 # read the claim and to append theirs.
 UNDERSIZED_CLAIM_DELAY_S = 1.0
@@ -36,6 +39,7 @@
         end: End offset of the topic as last read.
         claim: Newest claim; None before the first.
         changed_at: Monotonic time in seconds at which the end last moved.
+        malformed: Number of claims that could not be decoded.
         released_epoch: Epoch whose owner has announced its release.
         claim_delay_s: Seconds for which this entry VM lets others claim first.
     """
@@ -46,6 +50,9 @@
     changed_at: float = 0.0
     released_epoch: int = 0
     claim_delay_s: float = 0.0
+    malformed: int = 0
+    _heartbeat: OwnerBeat | None = None
+    _heartbeat_at: float = 0.0
 
     def apply(self, records: list[KeyedRecord], end: int, now: float) -> None:
         """Applies records read from the claims topic.
@@ -60,7 +67,24 @@
         self.end = end
         for record in records:
             if record.key == OWNER_KEY and record.value:
-                self.claim = _DECODER.decode(record.value)
+                self._apply_claim(record.value)
+
+    def _apply_claim(self, value: bytes) -> None:
+        try:
+            self.claim = _DECODER.decode(value)
+        except msgspec.MsgspecError:
+            self.malformed += 1
+
+    def record_heartbeat(self, heartbeat: OwnerBeat, now: float) -> None:
+        """Records a heartbeat of the owner.
+
+        Args:
+            heartbeat: The heartbeat.
+            now: Monotonic time in seconds.
+        """
+        self._heartbeat, self._heartbeat_at = heartbeat, now
+        if heartbeat.released:
+            self.released_epoch = heartbeat.epoch
 
     def holds(self, epoch: Epoch) -> bool:
         """Returns whether this entry VM holds the claim of an epoch."""
@@ -72,7 +96,28 @@
         unchanged_s = now - self.changed_at
         if self._is_unowned():
             return unchanged_s >= self.claim_delay_s
-        return unchanged_s >= CLAIM_TIMEOUT_S + self.claim_delay_s
+        timeout_s = CLAIM_TIMEOUT_S + self.claim_delay_s
+        if unchanged_s >= timeout_s:
+            return True
+        return (
+            self._is_unrenewed_since_heartbeat()
+            and unchanged_s >= MIN_OBSERVED_S + self.claim_delay_s
+            and now - self._heartbeat_at >= timeout_s
+        )
+
+    def _is_unrenewed_since_heartbeat(self) -> bool:
+        """Returns whether the last heartbeat already reported the newest renewal.
+
+        Then the owner has not renewed the claim since, although this entry VM may have
+        read it for the first time much later.
+        """
+        heartbeat, claim = self._heartbeat, self.claim
+        return (
+            heartbeat is not None
+            and claim is not None
+            and heartbeat.epoch == claim.epoch
+            and heartbeat.claim_sequence >= claim.sequence
+        )
 
     def _is_unowned(self) -> bool:
         if self.claim is None or self.claim.released:
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -10,6 +10,7 @@
 
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.states import JobPhase
+from arbutusladder.cell.tasknames import parse_task_name
 from arbutusladder.ids import JobId
 from arbutusladder.messages import (
     JobProgress,
@@ -174,11 +175,12 @@
         return step.need if step else None
 
     def _find_step(self, task: str) -> StepSpec | None:
-        job_id, _occurrence, step, _index = task.split(".")
-        job = self.job_by_id.get(JobId(job_id))
+        name = parse_task_name(task)
+        job = self.job_by_id.get(name.job_id) if name else None
         if job is None or job.record is None:
             return None
-        return job.record.steps[int(step)]
+        steps = job.record.steps
+        return steps[name.step] if name.step < len(steps) else None
 
     def waiting_job_count(self, queue: str) -> int:
         """Returns the number of jobs of a queue that have not started."""
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -279,6 +279,8 @@
             self._jobs_offset = jobs.next_offset
             self._progress_offset = progress.next_offset
             self.loaded = True
+            # This entry VM may claim the cell from now on.
+            self.claims.poll_soon()
 
     async def _apply_jobs(self, records: list[KeyedRecord]) -> None:
         changed = self.table.apply_jobs(records)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -158,6 +158,12 @@
             return await self._end_cause.unwrap()
         except WriterFenced as error:
             return str(error)
+        except Exception as error:
+            # Releases the claim, so that another entry VM takes over; claiming again at
+            # once could fail in the same way.
+            log_failure(self._dependencies.journal, "takeover", error)
+            self.failed = self.released = True
+            return f"failed: {type(error).__name__}"
         finally:
             self.advice_dispatcher.close()
             await self._lease_renewer.close()
@@ -233,7 +239,11 @@
                 self.writer.newest_append_s(now),
                 self._member.appender.in_flight_s(now),
             )
-            await self._broadcast(OwnerBeat(self.epoch, append_s=append_s))
+            claim = self._member.claims.current
+            sequence = claim.sequence if claim and claim.epoch == self.epoch else -1
+            await self._broadcast(
+                OwnerBeat(self.epoch, append_s=append_s, claim_sequence=sequence)
+            )
             due_at = now + HEARTBEAT_INTERVAL_S
             await curio.sleep(HEARTBEAT_INTERVAL_S)
             self._max_heartbeat_delay_s = max(
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -652,6 +652,10 @@
     """
     Duration of the owner's newest append in seconds.
     """
+    claim_sequence: int = -1
+    """
+    Sequence number of the newest renewal of the claim; -1 if unknown.
+    """
 
 
 @dataclass
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -75,10 +75,10 @@
         self._journal = Journal(settings.vm)
         self._metrics = Metrics()
         pool = HttpConnectionPool(self._clock)
-        self._log = PlatformLog(settings.store, pool)
+        self._log = PlatformLog(settings.store, pool, self._metrics)
         dependencies = CellDependencies(
             log=self._log,
-            orders=PlatformWorkerClient(pool),
+            orders=PlatformWorkerClient(pool, self._metrics),
             advisor=PlatformAdvisor(settings.advice, pool),
             decode_worker=decode_registry_entry,
             clock=self._clock,
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -4,6 +4,7 @@
 in the cell member and queues in the routing table.
 """
 
+import re
 from collections.abc import Callable
 from http import HTTPStatus
 
@@ -27,6 +28,8 @@
 
 # Request header with the client's timeout in milliseconds after arrival.
 DEADLINE_HEADER = "X-Arbutusladder-Request-Deadline-Ms"
+# Milliseconds as they may stand in it; longer numbers exceed every timeout.
+DEADLINE_PATTERN = re.compile(r"[0-9]{1,9}")
 # Seconds of a client's timeout that are reserved for sending the response.
 RESPONSE_MARGIN_S = 0.25
 # Bounds in seconds of the Retry-After value of refused requests. Outages of the log
@@ -163,7 +166,7 @@
         """Returns the time by which the outcome of a request must be known."""
         wait_s = queue.timeout_s
         header_value = request.header(DEADLINE_HEADER)
-        if header_value.isdigit():
+        if DEADLINE_PATTERN.fullmatch(header_value):
             wait_s = min(wait_s, int(header_value) / 1000)
         return self._clock.now() + max(0.0, wait_s - RESPONSE_MARGIN_S)
 
--- a/arbutusladder/platform/store.py
+++ b/arbutusladder/platform/store.py
@@ -22,6 +22,7 @@
 from arbutusladder.errors import HttpError, LogUnavailable
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
+from arbutusladder.metrics import Metrics
 
 # Default seconds for a whole exchange, and without a byte of a page of newest records.
 ANSWER_TIMEOUT_S = 2.0
@@ -90,11 +91,13 @@
     Args:
         address: IP address and port of the store.
         pool: Pool of HTTP connections.
+        metrics: Counters.
     """
 
-    def __init__(self, address: str, pool: HttpConnectionPool):
+    def __init__(self, address: str, pool: HttpConnectionPool, metrics: Metrics):
         self._address = address
         self._pool = pool
+        self._metrics = metrics
         self._average_read_s = 0.0
 
     async def append(
@@ -176,16 +179,24 @@
                 return LogBatch([], 0, 0)
             page = _decode_json(answer, _Newest)
             first_end = page.end if first_end is None else first_end
-            records += [
-                KeyedRecord(item.offset, item.key, base64.b64decode(item.value))
-                for item in page.items
-            ]
+            records += self._decode_items(page.items)
             if not page.has_more or not page.items:
                 # Pages are not a consistent snapshot: records may be appended between
                 # them, so the next read starts at the end that the first page gave.
                 return LogBatch(records, page.end, first_end)
             last_key = page.items[-1].key
 
+    def _decode_items(self, items: list[_Item]) -> list[KeyedRecord]:
+        records = []
+        for item in items:
+            try:
+                value = base64.b64decode(item.value, validate=True)
+            except ValueError:
+                self._metrics.count("log.malformed_record")
+                continue
+            records.append(KeyedRecord(item.offset, item.key, value))
+        return records
+
     async def _call(
         self,
         method: str,
--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -4,7 +4,9 @@
 the owner, under a lease that the owner renews.
 """
 
+import ipaddress
 from http import HTTPStatus
+from typing import get_args
 
 import msgspec
 
@@ -23,6 +25,7 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.ids import Epoch, VmId
 from arbutusladder.messages import Header, Resources
+from arbutusladder.metrics import Metrics
 
 # Seconds for the response to an order, and to a lease renewal beyond its long-polling
 # wait. The latency between failure domains is 10 ms, and an unresponsive connection
@@ -33,6 +36,7 @@
 # the same address answers 421.
 INSTANCE_HEADER = "X-Arbutusladder-Target-Instance"
 JSON_HEADER = Header("Content-Type", "application/json")
+MAX_PORT = 65535
 # Topic of the platform's log in which executors register.
 REGISTRY_TOPIC = "keyed.servers"
 
@@ -89,8 +93,13 @@
     clock_ms: float | None = None
     reason: str = ""
     born: int = 0
-    running: list[list] = []
-    ended: list[list] = []
+    running: list = []
+    ended: list = []
+
+
+# Rows of `_Reply`; executors may add fields.
+_RunningRow = tuple[str, int, str, float]
+_EndedRow = tuple[int, str, int, str, str]
 
 
 def decode_registry_entry(record: KeyedRecord) -> WorkerEntry | None:
@@ -108,7 +117,7 @@
         entry = msgspec.json.decode(record.value, type=_Server)
     except (msgspec.MsgspecError, UnicodeDecodeError):
         return None
-    if entry.state not in {"ready", "draining"} or ":" not in entry.address:
+    if entry.state not in {"ready", "draining"} or not _is_address(entry.address):
         return None
     return WorkerEntry(
         vm=VmId(record.key),
@@ -124,15 +133,27 @@
     )
 
 
+def _is_address(text: str) -> bool:
+    """Returns whether a text is an IP address and a port."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) <= MAX_PORT
+    except ValueError:
+        return False
+
+
 class PlatformWorkerClient:
     """Sends orders and lease renewals to executors.
 
     Args:
         pool: Pool of HTTP connections.
+        metrics: Counters.
     """
 
-    def __init__(self, pool: HttpConnectionPool):
+    def __init__(self, pool: HttpConnectionPool, metrics: Metrics):
         self._pool = pool
+        self._metrics = metrics
 
     async def start(
         self, worker: WorkerEntry, order: StartOrder, epoch: Epoch, until: float
@@ -180,17 +201,17 @@
             return OrderAnswer(_failure_outcome(error))
         if status != HTTPStatus.OK or reply.clock_ms is None:
             return _order_answer(status, reply)
-        return WorkerReport(
-            born=reply.born,
-            clock=reply.clock_ms / 1000,
-            running=[RunningTask(*row[:4]) for row in reply.running],
-            ended=[
-                EndedTask(number, task, run, EndKind(end_kind), saved)
-                for number, task, run, end_kind, saved in (
-                    row[:5] for row in reply.ended
-                )
-            ],
-        )
+        try:
+            running = [
+                RunningTask(*_convert_row(row, _RunningRow)) for row in reply.running
+            ]
+            ended = [_ended_task(*_convert_row(row, _EndedRow)) for row in reply.ended]
+        except msgspec.ValidationError:
+            # Runs without a readable row must not count as ended, so the whole report
+            # is dropped, and the worker's lease expires if this goes on.
+            self._metrics.count("workers.malformed_report")
+            return OrderAnswer(OrderOutcome.MALFORMED)
+        return WorkerReport(reply.born, reply.clock_ms / 1000, running, ended)
 
     async def _send_order(
         self, worker: WorkerEntry, path: str, body: dict
@@ -215,6 +236,33 @@
             return answer.status, _Reply()
 
 
+def _convert_row(row: object, row_type: type[tuple]) -> tuple:
+    """Checks the types of a row and drops further fields.
+
+    Args:
+        row: Decoded row of a list of runs or of ends.
+        row_type: Types of the fields to return.
+
+    Raises:
+        msgspec.ValidationError: The row is too short, or a field has another type.
+    """
+    size = len(get_args(row_type))
+    if not isinstance(row, list) or len(row) < size:
+        raise msgspec.ValidationError(f"row with fewer than {size} fields")
+    return msgspec.convert(row[:size], type=row_type)
+
+
+def _ended_task(
+    number: int, task: str, run: int, end_kind: str, saved: str
+) -> EndedTask:
+    try:
+        how = EndKind(end_kind)
+    except ValueError:
+        # The run has ended, but neither successfully nor as a counted failure.
+        how = EndKind.LAPSED
+    return EndedTask(number, task, run, how, saved)
+
+
 def _failure_outcome(error: HttpError) -> OrderOutcome:
     """Returns the outcome of an order that got no whole response."""
     return OrderOutcome.UNKNOWN if error.sent else OrderOutcome.NOT_SENT
--- a/tests/cell/test_stages.py
+++ b/tests/cell/test_stages.py
@@ -1,8 +1,17 @@
 """Tests of job progress across changes of the owner."""
 
+import pytest
+
 from arbutusladder.cell.advicecalls import AdviceCapacity
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.interfaces import EndedTask, OrderAnswer, WorkerReport
+from arbutusladder.cell.interfaces import (
+    EndedTask,
+    KeyedRecord,
+    OrderAnswer,
+    RunningTask,
+    WorkerReport,
+)
+from arbutusladder.cell.jobtable import JobTable, submission_item
 from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome
 from arbutusladder.messages import (
@@ -115,3 +124,27 @@
         changes.storing = set()
         state.remove_finished_jobs()
         assert added_job.id not in state.job_by_id
+
+
+class TestMalformedTaskNames:
+    """Pattern: a worker reports runs with names that no owner has given."""
+
+    @pytest.mark.parametrize(
+        "task", ["", "x", "a.b.c.d", "00000000000000aa.0.7.0", "a.0.0.\u00b2", "....."]
+    )
+    def test_unknown_run_is_stopped_and_others_are_tracked(self, task):
+        """Guards against a report that ends the processing of all later reports."""
+        record = make_submission(steps(1))
+        table = JobTable()
+        table.apply_jobs([KeyedRecord(0, *submission_item(record))])
+        state = CellState(0.0, table.task_need)
+        worker = workloads.workers()[0]
+        state.update_registry({worker.vm: worker}, NOW)
+        state.add_job(record, JobProgress(JobPhase.QUEUED), NOW)
+        known = RunningTask("00000000000000aa.0.0.0", 1, "", 5)
+        unknown = RunningTask(task, 1, "", 5)
+        report = WorkerReport(1, NOW, [unknown, known])
+        state.apply_report(worker.vm, report, NOW, NOW)
+        runs = state.worker_by_vm[worker.vm].run_by_key
+        assert runs[(task, 1)].stop_wanted
+        assert not runs[(known.task, 1)].stop_wanted
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -51,6 +51,7 @@
         lose_replies: Number of the next appends that take effect but get no response.
         unresponsive: Whether calls get no response and have no effect.
         appends: Number of append calls.
+        malformed_keys: Keys whose newest values are sent in an invalid form.
     """
 
     def __init__(self):
@@ -59,6 +60,7 @@
         self.lose_replies = 0
         self.unresponsive = False
         self.appends = 0
+        self.malformed_keys: set[str] = set()
         self.server = HttpServer("127.0.0.1:0", self.handle, max_body=4 << 20)
 
     @property
@@ -146,7 +148,8 @@
             {
                 "key": key,
                 "offset": newest[key][0],
-                "value": base64.b64encode(newest[key][1]).decode(),
+                "value": "=" * (key in self.malformed_keys)
+                + base64.b64encode(newest[key][1]).decode(),
             }
             for key in keys[:500]
         ]
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.httppool import HttpConnectionPool
+from arbutusladder.metrics import Metrics
 from arbutusladder.platform.store import PlatformLog
 from tests.platform.fakes import FakeStore
 
@@ -27,7 +28,7 @@
     async def main():
         store = FakeStore()
         await curio.spawn(store.server.run, daemon=True)
-        log = PlatformLog(store.address, HttpConnectionPool(Clock()))
+        log = PlatformLog(store.address, HttpConnectionPool(Clock()), Metrics())
         return await scenario(store, log)
 
     return curio.run(main)
@@ -174,7 +175,22 @@
             sock = curio.network.tcp_server_socket("127.0.0.1", 0)
             address = "{}:{}".format(*sock.getsockname())
             await curio.spawn(curio.network.run_server, sock, serve, daemon=True)
-            log = PlatformLog(address, HttpConnectionPool(Clock()))
+            log = PlatformLog(address, HttpConnectionPool(Clock()), Metrics())
             return await log.newest(TOPIC)
 
         assert curio.run(main).end == 5
+
+
+class TestMalformedRecords:
+    """Pattern: a value of the newest records cannot be decoded."""
+
+    def test_other_records_are_read(self):
+        """Guards against one record that ends every process that reads the topic."""
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [("a", b"1"), ("b", b"2")])
+            store.malformed_keys = {"a"}
+            return await log.newest(TOPIC)
+
+        batch = run_with_store(scenario)
+        assert [(r.key, r.value) for r in batch.records] == [("b", b"2")]
