Block only the jobs on silent workers at a takeover, and confirm the ownership

Change: the claim lists every silent worker with the jobs that may run on it and the rest of its leases; nothing is started on a listed worker until a claim without it is stored, so the list stays complete.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from arbutusladder import events
 from arbutusladder.cell.interfaces import (
@@ -26,6 +27,7 @@
 )
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.tasknames import parse_task_name
+from arbutusladder.cell.unreported import UnreportedWorkers
 from arbutusladder.cell.workers import Run, Worker
 from arbutusladder.events import Event
 from arbutusladder.ids import JobId, VmId
@@ -33,6 +35,7 @@
     AdviceReply,
     JobProgress,
     Resources,
+    SilentWorker,
     SubmittedJob,
 )
 
@@ -55,10 +58,12 @@
             progress is not stored.
         worker_by_vm: Workers that are registered or whose runs or leases may not have
             ended.
-        unreported_until_by_vm: Workers that have not reported since the takeover, and
-            the monotonic time in seconds at which any lease from a previous owner has
-            expired. Until a worker has reported or that time has passed, it may run
-            tasks that this owner does not know.
+        unreported: Workers that have not reported since the takeover and may run tasks
+            that this owner does not know.
+        listed_silent_vms: Workers that the claim lists as silent. Nothing is started on
+            them, so that the list of the jobs on them stays complete.
+        listed_expiring_vms: Those of them whose leases the claim says to end soon, so
+            that they must not be extended.
         changes: Changes that are not logged or stored yet.
     """
 
@@ -69,7 +74,9 @@
         self._wall_offset = wall_offset
         self.job_by_id: dict[JobId, Job] = {}
         self.worker_by_vm: dict[VmId, Worker] = {}
-        self.unreported_until_by_vm: dict[VmId, float] = {}
+        self.unreported = UnreportedWorkers()
+        self.listed_silent_vms: set[VmId] = set()
+        self.listed_expiring_vms: set[VmId] = set()
         self.changes = PendingChanges()
         self._report_processor = ReportProcessor(self)
 
@@ -166,10 +173,7 @@
         if worker is None:
             return 0
         self._report_processor.apply(worker, report, sent_at, now)
-        if (
-            self.unreported_until_by_vm.pop(vm, None)
-            and not self.unreported_until_by_vm
-        ):
+        if self.unreported.remove(vm):
             self._stop_partial_gangs()
         return worker.last_end_number
 
@@ -267,11 +271,56 @@
             silent = worker.silent_since is not None
             if silent and worker.run_by_key and worker.leases_expired(now):
                 self.end_lost_runs(worker, "lapsed")
-        for vm, until in list(self.unreported_until_by_vm.items()):
-            if now > until:
-                del self.unreported_until_by_vm[vm]
-                if not self.unreported_until_by_vm:
-                    self._stop_partial_gangs()
+        if self.unreported.remove_expired(now):
+            self._stop_partial_gangs()
+
+    def is_blocked(self, job: Job) -> bool:
+        """Returns whether a predecessor may have started tasks of a job elsewhere."""
+        return job.inherited and self.unreported.may_run(job.id)
+
+    def accepts_tasks(self, worker: Worker, now: float) -> bool:
+        """Returns whether new tasks may start on a worker."""
+        is_listed = worker.entry.vm in self.listed_silent_vms
+        return worker.accepts_tasks(now) and not is_listed
+
+    def silent_workers(self, now: float, lease_s: float) -> list[SilentWorker]:
+        """Returns the workers that do not answer, as the claim lists them.
+
+        Args:
+            now: Monotonic time in seconds.
+            lease_s: Seconds after which a lease ends that this owner may still extend,
+                as it may for every registered worker.
+        """
+        unreported = [
+            replace(row, lease_s=lease_s) if row.vm in self.worker_by_vm else row
+            for row in self.unreported.describe(now)
+        ]
+        listed = {row.vm for row in unreported}
+        return unreported + [
+            SilentWorker(
+                vm,
+                lease_s,
+                sorted({r.job_id for r in worker.run_by_key.values()}),
+                False,
+            )
+            for vm, worker in self.worker_by_vm.items()
+            if worker.silent_since is not None and vm not in listed
+        ]
+
+    def list_silent_workers(self, silent: list[SilentWorker], stored: bool) -> None:
+        """Keeps what the claim says of silent workers true.
+
+        Args:
+            silent: Workers that the claim lists.
+            stored: Whether the claim is stored, so that earlier lists no longer count.
+        """
+        if stored:
+            self.listed_silent_vms = set()
+            self.listed_expiring_vms = set()
+        for row in silent:
+            self.listed_silent_vms.add(row.vm)
+            if row.vm not in self.worker_by_vm:
+                self.listed_expiring_vms.add(row.vm)
 
     def stage(self, key: str) -> Stage | None:
         """Returns a step by its key, or None if its job is not in the state."""
@@ -357,13 +406,15 @@
     def _replace_restarted_worker(self, worker: Worker, entry: WorkerEntry) -> None:
         self.end_lost_runs(worker, "restarted")
         self.worker_by_vm[entry.vm] = Worker.create(entry)
-        self.unreported_until_by_vm.pop(entry.vm, None)
+        if self.unreported.remove(entry.vm):
+            self._stop_partial_gangs()
 
     def _remove_worker(self, worker: Worker, cause: str) -> None:
         self.end_lost_runs(worker, cause)
         worker.registered = False
         self.worker_by_vm.pop(worker.entry.vm, None)
-        self.unreported_until_by_vm.pop(worker.entry.vm, None)
+        if self.unreported.remove(worker.entry.vm):
+            self._stop_partial_gangs()
 
     def end_lost_runs(self, worker: Worker, cause: str) -> None:
         """Ends all runs of a worker that no longer has them.
@@ -463,9 +514,11 @@
     def _stop_partial_gangs(self) -> None:
         """Stops inherited gangs of which only some members run after a takeover."""
         for job in self.job_by_id.values():
+            if not job.inherited or self.unreported.may_run(job.id):
+                continue
             for stage in job.stage_by_key.values():
                 partial = 0 < len(stage.active_runs) < len(stage.tasks)
-                if job.inherited and stage.spec.gang and partial:
+                if stage.spec.gang and partial:
                     self.stop_runs(stage)
 
     def _stage_of(self, run: Run) -> Stage | None:
--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -141,8 +141,9 @@
         if not self._view.may_claim(now):
             return
         claim = self._view.next_claim(self._member.listen)
+        claim_age_s = now - self._view.changed_at
         if await self._append(claim):
-            self.owner = Owner(claim, self._member, self._dependencies)
+            self.owner = Owner(claim, claim_age_s, self._member, self._dependencies)
             self._owner_task = await curio.spawn(
                 self._run_owner, self.owner, daemon=True
             )
@@ -170,18 +171,23 @@
 
     async def _renew(self) -> None:
         owner = self.owner
-        if not await self._append(self._renewed_claim(owner)):
+        claim = self._renewed_claim(owner)
+        if await self._append(claim):
+            owner.handle_claim_renewed(claim)
+        else:
             await owner.end_ownership("another entry VM has claimed the cell")
 
     def _renewed_claim(self, owner: Owner, released: bool = False) -> CellClaim:
         sequence = self._view.claim.sequence + 1 if self._view.claim else 0
+        silent = owner.silent_workers()
         return CellClaim(
             owner.epoch,
             self._member.vm,
             self._member.listen,
             sequence,
             released,
-            owner.silent_workers(),
+            [row.vm for row in silent],
+            silent,
         )
 
     async def _run_owner(self, owner: Owner) -> None:
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -136,8 +136,14 @@
         """
         epoch = self.claim.epoch + 1 if self.claim else 1
         silent_workers = list(self.claim.silent_workers) if self.claim else []
+        silent = list(self.claim.silent) if self.claim else []
         return CellClaim(
-            Epoch(epoch), self.vm, address, 0, silent_workers=silent_workers
+            Epoch(epoch),
+            self.vm,
+            address,
+            0,
+            silent_workers=silent_workers,
+            silent=silent,
         )
 
 
--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -84,7 +84,10 @@
                 or worker.silent_since is not None
             ):
                 poll_timeout_s = 0.0
-            lease_end = worker.grant_lease(sent_at, self._owner.lease_s)
+            lease_end = None
+            may_extend = vm not in self._state.listed_expiring_vms
+            if may_extend and self._owner.may_give_orders():
+                lease_end = worker.grant_lease(sent_at, self._owner.lease_s)
             answer = await self._dependencies.orders.renew(
                 worker.entry,
                 self._owner.epoch,
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -17,6 +17,7 @@
 from arbutusladder.backgroundtasks import log_failure
 from arbutusladder.cell.advicedispatcher import MEMBER_TIMEOUT_S, AdviceDispatcher
 from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
     OrderAnswer,
@@ -32,7 +33,7 @@
 from arbutusladder.cell.pruning import FinishedJobPruner
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.states import OrderOutcome
-from arbutusladder.cell.workers import CLOCK_RATE_ERROR
+from arbutusladder.cell.workers import CLOCK_RATE_ERROR, LEASE_END_MARGIN_S
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import JobId, SeatId, VmId
 from arbutusladder.messages import (
@@ -43,6 +44,7 @@
     OwnerBeat,
     ProgressRelay,
     RelayedState,
+    SilentWorker,
 )
 
 if TYPE_CHECKING:
@@ -84,7 +86,10 @@
     """Schedules tasks on the workers of a cell under one epoch.
 
     Args:
-        claim: The claim that this owner holds.
+        claim: The claim that this owner holds. It lists the workers that did not answer
+            the predecessor.
+        claim_age_s: Seconds for which the predecessor had at least not renewed its
+            claim, and so the list, when this owner claimed.
         member: Entry VM that runs the owner.
         dependencies: Services and settings of the entry VM.
 
@@ -95,11 +100,16 @@
         state: Jobs and workers of the cell.
         lease_s: Length of a worker's lease in seconds.
         writer: Writes job progress to the log.
+        evidence: Evidence that this owner has not been replaced.
         advice_dispatcher: Distributes advice calls over the entry VMs.
     """
 
     def __init__(
-        self, claim: CellClaim, member: Member, dependencies: CellDependencies
+        self,
+        claim: CellClaim,
+        claim_age_s: float,
+        member: Member,
+        dependencies: CellDependencies,
     ):
         self.epoch = claim.epoch
         self.released = False
@@ -111,7 +121,10 @@
         now = self._clock.now()
         self.state = CellState(self._clock.wall_time() - now, member.table.task_need)
         self._placer = Placer(self.state)
-        self._predecessor_silent_workers = claim.silent_workers
+        self.evidence = OwnershipEvidence(dependencies.clock)
+        self._is_confirmed = True
+        self._claim = claim
+        self._claim_age_s = claim_age_s
         self.lease_s = min(TARGET_LEASE_S, dependencies.settings.max_lease_s)
         self._taken_over_at: float | None = None
         self._max_heartbeat_delay_s = 0.0
@@ -188,13 +201,22 @@
         self.released = True
         await self.end_ownership("released")
 
-    def silent_workers(self) -> list[str]:
-        """Returns workers that do not answer but may still run tasks."""
-        return [
-            vm
-            for vm, worker in self.state.worker_by_vm.items()
-            if worker.run_by_key and worker.silent_since is not None
-        ] + list(self.state.unreported_until_by_vm)
+    def silent_workers(self) -> list[SilentWorker]:
+        """Returns the workers to list in the claim, and starts nothing on them."""
+        silent = self.state.silent_workers(self._clock.now(), self._max_lease_s)
+        self.state.list_silent_workers(silent, stored=False)
+        return silent
+
+    def handle_claim_renewed(self, claim: CellClaim) -> None:
+        """Allows tasks on workers that the stored claim does not list as silent."""
+        self.evidence.confirm()
+        self.state.list_silent_workers(claim.silent, stored=True)
+
+    @property
+    def _max_lease_s(self) -> float:
+        """Seconds after which the leases of an owner replaced now have ended."""
+        lease_s = self.lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_END_MARGIN_S
+        return PREDECESSOR_RENEWAL_WINDOW_S + lease_s
 
     async def handle_job_changes(self, job_ids: list[JobId]) -> None:
         """Adds new jobs and applies cancellations that were read from the log.
@@ -208,13 +230,14 @@
             return
         now = self._clock.now()
         recently_taken_over = now - self._taken_over_at < FENCING_NOTICE_S
-        inherited = recently_taken_over and bool(self.state.unreported_until_by_vm)
+        inherited = recently_taken_over and bool(self.state.unreported)
         for job_id in job_ids:
             self._track_job(job_id, now, inherited)
         await self._decisions_needed.set()
 
     async def handle_hello(self, hello: MemberHello) -> None:
         """Registers the sender of a hello and answers with the list of members."""
+        self.evidence.confirm()
         seat = SeatId(hello.vm)
         now = self._clock.now()
         await self._register_member(hello, now)
@@ -303,18 +326,13 @@
         await retry_until_answered(self._member.read_jobs)
         await retry_until_answered(self._read_registry)
         now = self._clock.now()
-        leases_end_by = now + PREDECESSOR_RENEWAL_WINDOW_S
-        leases_end_by += self._dependencies.settings.max_lease_s * (
-            1 + CLOCK_RATE_ERROR
-        )
         for job_id in list(self._member.table.job_by_id):
             self._track_job(job_id, now, inherited=True)
         has_inherited_jobs = bool(self.state.job_by_id)
         if has_inherited_jobs:
-            vms = {*self.state.worker_by_vm, *self._predecessor_silent_workers}
-            self.state.unreported_until_by_vm = {VmId(vm): leases_end_by for vm in vms}
+            self._await_reports(now)
         for worker in self.state.worker_by_vm.values():
-            worker.assume_lease(leases_end_by)
+            worker.assume_lease(now + self._max_lease_s)
         self._taken_over_at = now
         await self._lease_renewer.start_renewals()
         self._dependencies.journal.write(
@@ -324,6 +342,17 @@
             workers=len(self.state.worker_by_vm),
         )
 
+    def _await_reports(self, now: float) -> None:
+        """Blocks jobs on workers until they report or their leases have ended."""
+        unreported = self.state.unreported
+        for vm in (*self.state.worker_by_vm, *self._claim.silent_workers):
+            unreported.add(VmId(vm), now + self._max_lease_s)
+        for row in self._claim.silent:
+            until = now + row.lease_s - self._claim_age_s
+            unreported.add(row.vm, until, None if row.any_job else row.job_ids)
+        unreported.remove_expired(now)
+        self.state.list_silent_workers(self._claim.silent, stored=True)
+
     def _track_job(self, job_id: JobId, now: float, inherited: bool) -> None:
         entry = self._member.table.job_by_id[job_id]
         if entry.record is None or entry.progress.state.is_final:
@@ -341,13 +370,32 @@
             self._decisions_needed.clear()
             now = self._clock.now()
             self.state.expire_leases(now)
-            for order in self._placer.decide(
-                now, self.advice_dispatcher.available_capacity(now)
-            ):
-                await self._send_order(order)
+            if self.may_give_orders():
+                capacity = self.advice_dispatcher.available_capacity(now)
+                for order in self._placer.decide(now, capacity):
+                    await self._send_order(order)
             self.state.remove_finished_jobs()
             await self.flush_changes()
 
+    def may_give_orders(self) -> bool:
+        """Returns whether tasks may be started and leases extended now.
+
+        Without other entry VMs none can have replaced this owner.
+        """
+        confirmed = self.evidence.is_valid() or not self._last_hello_by_vm
+        if confirmed != self._is_confirmed:
+            self._is_confirmed = confirmed
+            self._dependencies.metrics.count("owner.confirmation_changes")
+            event = (
+                events.OWNERSHIP_CONFIRMED
+                if confirmed
+                else events.OWNERSHIP_UNCONFIRMED
+            )
+            self._dependencies.journal.write(
+                event, epoch=self.epoch, seconds=self.evidence.age_s()
+            )
+        return confirmed
+
     async def flush_changes(self) -> None:
         """Writes pending events and triggers storing of changed job progress."""
         changes = self.state.changes
@@ -372,7 +420,7 @@
         worker = self.state.worker_by_vm.get(order.vm)
         now = self._clock.now()
         lease_end = worker.grant_lease(now, self.lease_s) if worker else None
-        if lease_end is None or self.ended:
+        if lease_end is None or self.ended or not self.may_give_orders():
             answer = OrderAnswer(OrderOutcome.NOT_SENT)
         else:
             answer = await self._start_with_retry(worker.entry, order, lease_end)
@@ -392,6 +440,9 @@
         first = await orders.start(entry, order, self.epoch, lease_end)
         if first.outcome is not OrderOutcome.UNKNOWN:
             return first
+        if self.ended or not self.may_give_orders():
+            # A successor may have taken over while the first order was not answered.
+            return first
         self._dependencies.metrics.count("starts.repeated")
         second = await orders.start(entry, order, self.epoch, lease_end)
         if second.outcome in CONCLUSIVE_OUTCOMES:
@@ -436,6 +487,7 @@
         return [(job.id, job.progress()) for job in jobs if job]
 
     async def _on_progress_stored(self, offset: int, progress: ProgressBatch) -> None:
+        self.evidence.confirm()
         states = [RelayedState(job_id, row.state) for job_id, row in progress]
         self._member.apply_relayed_states(offset, states)
         self.state.changes.storing = set()
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -118,7 +118,11 @@
             The orders: stops first, then the others by the priority of their steps.
         """
         orders: list[Order] = list(self._due_stops(now))
-        workers = [w for w in self._cell.worker_by_vm.values() if w.accepts_tasks(now)]
+        workers = [
+            worker
+            for worker in self._cell.worker_by_vm.values()
+            if self._cell.accepts_tasks(worker, now)
+        ]
         total = sum(worker.entry.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
         nonurgent_cpu = free - total * URGENT_RESERVE
@@ -150,9 +154,8 @@
 
     def _waiting_stages(self, now: float) -> list[Stage]:
         found = []
-        blocked = bool(self._cell.unreported_until_by_vm)
         for job in self._cell.job_by_id.values():
-            if job.phase.is_final or (blocked and job.inherited):
+            if job.phase.is_final or self._cell.is_blocked(job):
                 continue
             for stage in job.stage_by_key.values():
                 if (
@@ -261,7 +264,7 @@
         """
         workers = self._cell.release_plan(stage)
         can_start = all(
-            w and w.accepts_tasks(now) and fits(stage.spec.need, w.free)
+            w and self._cell.accepts_tasks(w, now) and fits(stage.spec.need, w.free)
             for w in workers
         )
         if not can_start or not all(
--- /dev/null
+++ b/arbutusladder/cell/unreported.py
@@ -0,0 +1,91 @@
+"""Workers on which a predecessor of the owner may have started tasks.
+
+After a takeover the owner does not know what runs on a worker until it has reported, or
+until every lease that a predecessor may have granted it has ended. Until then the tasks
+that may run there must not be started elsewhere.
+
+An owner lists the workers that do not answer in its claim, with the jobs that may run
+on them, and starts nothing on a listed worker before it is removed from the list. So
+only these jobs have to wait for such a worker, and not all jobs of the cell.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from arbutusladder.ids import JobId, VmId
+from arbutusladder.messages import SilentWorker
+
+
+@dataclass(frozen=True)
+class _Unreported:
+    """What may run on one worker.
+
+    Attributes:
+        until: Monotonic time in seconds at which every lease has ended.
+        job_ids: Jobs that may run on it; None if any inherited job may.
+    """
+
+    until: float
+    job_ids: frozenset[JobId] | None
+
+
+@dataclass
+class UnreportedWorkers:
+    """Workers without a report since the takeover."""
+
+    _unreported_by_vm: dict[VmId, _Unreported] = field(default_factory=dict)
+
+    def __bool__(self) -> bool:
+        """Returns whether there is any."""
+        return bool(self._unreported_by_vm)
+
+    def add(
+        self, vm: VmId, until: float, job_ids: Iterable[JobId] | None = None
+    ) -> None:
+        """Adds a worker.
+
+        Args:
+            vm: The worker.
+            until: Monotonic time in seconds at which every lease has ended.
+            job_ids: Jobs that may run on it; None if any inherited job may.
+        """
+        jobs = None if job_ids is None else frozenset(job_ids)
+        self._unreported_by_vm[vm] = _Unreported(until, jobs)
+
+    def remove(self, vm: VmId) -> bool:
+        """Removes a worker that has reported; returns whether it was in the list."""
+        return self._unreported_by_vm.pop(vm, None) is not None
+
+    def remove_expired(self, now: float) -> bool:
+        """Removes the workers whose leases have ended; returns whether there were any.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        expired = [vm for vm, row in self._unreported_by_vm.items() if now > row.until]
+        for vm in expired:
+            del self._unreported_by_vm[vm]
+        return bool(expired)
+
+    def may_run(self, job_id: JobId) -> bool:
+        """Returns whether a task of an inherited job may run on one of the workers."""
+        return any(
+            row.job_ids is None or job_id in row.job_ids
+            for row in self._unreported_by_vm.values()
+        )
+
+    def describe(self, now: float) -> list[SilentWorker]:
+        """Returns the workers as the claim lists them.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return [
+            SilentWorker(
+                vm,
+                max(0.0, row.until - now),
+                sorted(row.job_ids or ()),
+                row.job_ids is None,
+            )
+            for vm, row in self._unreported_by_vm.items()
+        ]
--- a/arbutusladder/clock.py
+++ b/arbutusladder/clock.py
@@ -17,6 +17,10 @@
         """Returns the monotonic time in seconds."""
         return time.monotonic()
 
+    def now_with_suspensions(self) -> float:
+        """Returns monotonic time in seconds that also passes during suspensions."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def wall_time(self) -> float:
         """Returns the wall clock time in seconds since 1970."""
         return time.time()
@@ -28,11 +32,21 @@
     def __init__(self, now: float = 1000.0, wall_time: float = 1_700_000_000.0):
         self._now = now
         self._wall = wall_time
+        self._suspended_s = 0.0
 
     def now(self) -> float:
         """Returns the simulated monotonic time in seconds."""
         return self._now
 
+    def now_with_suspensions(self) -> float:
+        """Returns the simulated monotonic time plus all suspensions in seconds."""
+        return self._now + self._suspended_s
+
+    def suspend(self, seconds: float) -> None:
+        """Simulates a suspension of the VM, not counted by the monotonic clock."""
+        self._suspended_s += seconds
+        self._wall += seconds
+
     def wall_time(self) -> float:
         """Returns the simulated wall clock time in seconds."""
         return self._wall
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -94,6 +94,17 @@
 )
 CELL_LOST = Event(222, Level.WARNING, "released the cell with epoch {epoch}: {reason}")
 
+OWNERSHIP_UNCONFIRMED = Event(
+    223,
+    Level.WARNING,
+    "the ownership with epoch {epoch} was last confirmed {seconds:.1f} s ago; "
+    "starting no tasks",
+    "check the log service and the connections to the other entry VMs",
+)
+OWNERSHIP_CONFIRMED = Event(
+    224, Level.INFO, "the ownership with epoch {epoch} is confirmed again"
+)
+
 # 300 to 399: requests
 ENDPOINT_SUSPECT = Event(
     300,
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -133,7 +133,11 @@
     """
     silent_workers: list[str] = field(default_factory=list)
     """
-    Workers that do not respond but may still run tasks.
+    Names of the workers in silent
+    """
+    silent: list[SilentWorker] = field(default_factory=list)
+    """
+    Workers that do not respond but may still run tasks. The owner starts nothing on them while they are listed.
     """
 
 
@@ -838,6 +842,27 @@
     queued_tasks: int = 0
 
 
+@dataclass
+class SilentWorker:
+    """
+    Worker that does not respond, and what may run on it.
+    """
+
+    vm: VmId
+    lease_s: float
+    """
+    Seconds after which all its leases have ended.
+    """
+    job_ids: list[JobId]
+    """
+    Jobs of which tasks may run on it.
+    """
+    any_job: bool
+    """
+    Whether tasks of further jobs may run on it.
+    """
+
+
 @dataclass
 class StageProgress:
     """
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -4,14 +4,20 @@
 import pytest
 
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.interfaces import OrderAnswer, StartOrder
-from arbutusladder.cell.owner import Owner
+from arbutusladder.cell.confirmation import EVIDENCE_VALIDITY_S, OwnershipEvidence
+from arbutusladder.cell.interfaces import OrderAnswer, StartOrder, WorkerReport
+from arbutusladder.cell.owner import PREDECESSOR_RENEWAL_WINDOW_S, Owner
 from arbutusladder.cell.states import OrderOutcome
 from arbutusladder.clock import ManualClock
+from arbutusladder.journal import Journal
 from arbutusladder.metrics import Metrics
 from tests.cell import workloads
 
 
+# Seconds within which a worker gets an order, or its sender gives it up.
+ORDER_DELIVERY_S = 0.8
+
+
 class ScriptedOrders:
     """Stands in for workers; answers start orders with given outcomes in turn."""
 
@@ -29,18 +35,37 @@
     def __init__(self, orders):
         self.orders = orders
         self.metrics = Metrics()
+        self.journal = Journal("test")
 
 
 def answered_start(*outcomes):
     """Returns the owner's outcome of a start whose orders get the given answers."""
-    owner = Owner.__new__(Owner)
-    owner.epoch = 1
-    owner._dependencies = StubDependencies(ScriptedOrders(*outcomes))
+    owner, _ = make_owner({}, ScriptedOrders(*outcomes))
     entry = workloads.workers()[0]
     order = StartOrder(entry.vm, "task", 1, "payload")
     return curio.run(owner._start_with_retry, entry, order, 10.0).outcome
 
 
+def make_owner(members, orders):
+    """Returns an owner with a worker that has answered, and the owner's clock."""
+    clock = ManualClock()
+    owner = Owner.__new__(Owner)
+    owner.epoch, owner.lease_s = 1, 5.0
+    owner._clock = clock
+    owner._dependencies = StubDependencies(orders)
+    owner._end_cause = curio.Result()
+    owner._decisions_needed = curio.Event()
+    owner._last_hello_by_vm = members
+    owner._is_confirmed = True
+    owner.evidence = OwnershipEvidence(clock)
+    owner.state = CellState(0.0, lambda task: None)
+    entry = workloads.workers()[0]
+    owner.state.update_registry({entry.vm: entry}, clock.now())
+    report = WorkerReport(1, 5.0)
+    owner.state.apply_report(entry.vm, report, clock.now(), clock.now())
+    return owner, clock
+
+
 class TestUnansweredStart:
     """A start order without an answer is repeated."""
 
@@ -70,6 +95,24 @@
         assert answered_start(OrderOutcome.NO_ROOM) is OrderOutcome.NO_ROOM
 
 
+class TestHandover:
+    """Pattern: the owner releases its claim while a start order has no answer."""
+
+    def test_order_is_not_repeated_after_the_release(self):
+        """Guards against orders of two owners for the same task."""
+        orders = ScriptedOrders(OrderOutcome.UNKNOWN, OrderOutcome.ACCEPTED)
+        owner, _ = make_owner({}, orders)
+        entry = workloads.workers()[0]
+        order = StartOrder(entry.vm, "task", 1, "payload")
+
+        async def release_then_start():
+            await owner.end_ownership("released")
+            return await owner._start_with_retry(entry, order, 10.0)
+
+        assert curio.run(release_then_start).outcome is OrderOutcome.UNKNOWN
+        assert orders.outcomes == [OrderOutcome.ACCEPTED]
+
+
 class TestJobsDuringTakeover:
     """Jobs read during or shortly after a takeover.
 
@@ -97,9 +140,46 @@
         )
         owner.state = CellState(0.0, lambda task: None)
         if unread:
-            owner.state.unreported_until_by_vm = {"w-001": clock.now() + 9.0}
+            owner.state.unreported.add("w-001", clock.now() + 9.0)
         clock.advance(1.0)
         curio.run(owner.handle_job_changes, [workloads.job_id(1)])
         clock.advance(5.0)
         curio.run(owner.handle_job_changes, [workloads.job_id(2)])
         assert inherited_flags == [unread, False]
+
+
+class TestPausedOwner:
+    """Pattern: an owner is paused, suspended or cut off, and replaced meanwhile."""
+
+    def send_start(self, owner):
+        """Sends a start order; returns whether a worker got it."""
+        left = len(owner._dependencies.orders.outcomes)
+        order = StartOrder(workloads.workers()[0].vm, "task", 1, "payload")
+        curio.run(owner._send_start, order)
+        return len(owner._dependencies.orders.outcomes) < left
+
+    @pytest.mark.parametrize("pause", ["advance", "suspend"])
+    def test_no_task_is_started_after_a_pause(self, pause):
+        """Guards against a second run on a worker that the successor cannot reach.
+
+        The successor lets every lease end that its predecessor may have extended
+        within PREDECESSOR_RENEWAL_WINDOW_S.
+        """
+        orders = ScriptedOrders(*[OrderOutcome.ACCEPTED] * 9)
+        owner, clock = make_owner({"b": (0.0, None)}, orders)
+        assert self.send_start(owner)
+        getattr(clock, pause)(EVIDENCE_VALIDITY_S + 0.1)
+        assert not self.send_start(owner)
+        owner.evidence.confirm()
+        assert self.send_start(owner)
+        assert owner._dependencies.metrics.count_by_name["starts.not_sent"] == 1
+
+    def test_single_entry_vm_needs_no_confirmation(self):
+        """Guards against a cell of one entry VM that stops during a log outage."""
+        owner, clock = make_owner({}, ScriptedOrders())
+        clock.advance(60.0)
+        assert owner.may_give_orders()
+
+    def test_evidence_expires_before_a_successor_relies_on_it(self):
+        """Guards against a window in which both owners give orders."""
+        assert EVIDENCE_VALIDITY_S + ORDER_DELIVERY_S <= PREDECESSOR_RENEWAL_WINDOW_S
