--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -316,7 +316,7 @@
         claim = self.claims.current
         if claim is None:
             return None
-        self._dependencies.metrics.count("submissions.passed_to_owner", len(items))
+        self._dependencies.metrics.count("store.passed_to_owner", len(items))
         request_id = RequestId(f"{self.listen}/store/{next(self._call_numbers)}")
         call = StoreCall(request_id, self.listen, items, wait_s)
         reply = await self.peers.call(SeatId(claim.holder), call, wait_s)
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -13,7 +13,6 @@
 from arbutusladder.metrics import Metrics
 from tests.cell import workloads
 
-
 # Seconds within which a worker gets an order, or its sender gives it up.
 ORDER_DELIVERY_S = 0.8
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -34,6 +34,7 @@
     first_offset: int = 0
     epoch: int = 0
     replies: dict[tuple, dict] = field(default_factory=dict)
+    append_lock: curio.Lock = field(default_factory=curio.Lock)
     sequence: int = -1
 
     @property
@@ -51,6 +52,7 @@
         lose_replies: Number of the next appends that take effect but get no response.
         unresponsive: Whether calls get no response and have no effect.
         appends: Number of append calls.
+        append_s: Seconds for which an append occupies its topic.
         malformed_keys: Keys whose newest values are sent in an invalid form.
     """
 
@@ -60,6 +62,7 @@
         self.lose_replies = 0
         self.unresponsive = False
         self.appends = 0
+        self.append_s = 0.0
         self.malformed_keys: set[str] = set()
         self.server = HttpServer("127.0.0.1:0", self.handle, max_body=4 << 20)
 
@@ -94,6 +97,9 @@
 
     async def _append(self, topic, request):
         self.appends += 1
+        if self.append_s:
+            async with topic.append_lock:
+                await curio.sleep(self.append_s)
         query = request.query
         if "at" in query and int(query["at"]) != topic.end:
             return json_answer(412, {"end": topic.end})
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -207,6 +207,40 @@
 
         assert run_scenario(tmp_path, scenario) == (200, True)
 
+    def test_slow_store_gets_few_appends(self, tmp_path):
+        """Guards against appends of many entry VMs that wait for each other.
+
+        Pattern: each append takes 0.25 s while jobs arrive at all entry VMs.
+        """
+
+        async def scenario(cell):
+            cell.store.append_s = 0.25
+            tasks = []
+            for number in range(24):
+                path = f"{QUEUE_PREFIX}{number:016x}"
+                tasks.append(
+                    await curio.spawn(
+                        cell.client_request, number % 3, "POST", path, job_body(count=1)
+                    )
+                )
+                await curio.sleep(0.05)
+            statuses = [(await task.join()).status for task in tasks]
+            cell.store.append_s = 0.0
+            done = [
+                await cell.wait_until_completed(0, f"{number:016x}", 8.0)
+                for number in range(24)
+            ]
+            passed = sum(
+                entry._metrics.count_by_name["store.passed_to_owner"]
+                for entry in cell.entries
+            )
+            return statuses, done, passed
+
+        statuses, done, passed = run_scenario(tmp_path, scenario, entry_count=3)
+        assert statuses == [200] * 24
+        assert all(done)
+        assert passed > 0
+
     def test_new_job_during_an_outage_is_refused_and_never_runs(self, tmp_path):
         """Guards against running a job whose submission was refused."""
 
