Show the ends of jobs before they are stored while the log is slow or unavailable

Nothing is sent while the log is calm. Tests: tests/cell/test_jobtable.py, an end during an outage in test_end_to_end.py; they fail on the code before (no such message).

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -34,6 +34,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     JobProgress,
+    RelayedState,
     Resources,
     SilentWorker,
     SubmittedJob,
@@ -131,6 +132,14 @@
         if job and not job.phase.is_final:
             self._finish(job, JobPhase.CANCELLED)
 
+    def apply_reported_end(self, state: RelayedState) -> None:
+        """Ends a job whose end a predecessor reported, but did not store."""
+        job = self.job_by_id.get(state.job_id)
+        if job and state.state.is_final:
+            self._finish(job, state.state)
+            for stage in job.stage_by_key.values():
+                self.stop_runs(stage)
+
     def update_registry(self, entry_by_vm: dict[VmId, WorkerEntry], now: float) -> None:
         """Applies the current registry of workers.
 
@@ -499,6 +508,7 @@
             return
         job.phase = phase
         self.changes.dirty.add(job.id)
+        self.changes.ended_phase_by_id[job.id] = phase
         self.record_event(events.CELL_JOB_ENDED, job=job.id, state=phase.value)
         for stage in job.stage_by_key.values():
             self.release_plan(stage)
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -42,19 +42,23 @@
         progress: Newest known progress.
         progress_offset: Offset of the record with that progress; -1 before the first.
         cancelled: Whether a cancellation is stored.
+        reported_end: Final state that an owner reported and that is not stored yet.
     """
 
     record: SubmittedJob | None = None
     progress: JobProgress = field(default_factory=lambda: JobProgress(JobPhase.QUEUED))
     progress_offset: int = -1
     cancelled: bool = False
+    reported_end: JobPhase | None = None
 
     @property
     def phase(self) -> JobPhase:
-        """State shown to callers; a stored final state overrides a cancellation."""
-        if self.progress.state.is_final or not self.cancelled:
+        """State shown to callers; a final state overrides a cancellation."""
+        if self.progress.state.is_final:
             return self.progress.state
-        return JobPhase.CANCELLED
+        if self.reported_end:
+            return self.reported_end
+        return JobPhase.CANCELLED if self.cancelled else self.progress.state
 
 
 def submission_item(record: SubmittedJob) -> tuple[str, bytes]:
@@ -91,6 +95,7 @@
         self.job_by_id: dict[JobId, JobEntry] = {}
         self.final_ids: dict[JobId, None] = {}
         self.malformed = 0
+        self._reported_ids: set[JobId] = set()
         self._waiting_ids_by_queue: dict[str, set[JobId]] = {}
 
     def apply_jobs(self, records: list[KeyedRecord]) -> list[JobId]:
@@ -154,6 +159,23 @@
                 job.progress_offset = offset + number
                 self._update_indexes(state.job_id, job)
 
+    def apply_reported_ends(self, states: list[RelayedState]) -> None:
+        """Applies final states that the owner has not stored yet."""
+        for state in states:
+            job = self.job_by_id.get(state.job_id)
+            if job is None or job.progress.state.is_final:
+                continue
+            job.reported_end = state.state
+            self._reported_ids.add(state.job_id)
+            self._update_indexes(state.job_id, job)
+
+    def unstored_ends(self) -> list[RelayedState]:
+        """Returns the reported ends that are not known to be stored."""
+        return [
+            RelayedState(job_id, self.job_by_id[job_id].reported_end)
+            for job_id in self._reported_ids
+        ]
+
     def phase(self, job_id: JobId) -> JobPhase | None:
         """Returns the state of a job, or None for an unknown one."""
         job = self.job_by_id.get(job_id)
@@ -204,10 +226,12 @@
         if job and job.phase.is_final and offset > job.progress_offset:
             del self.job_by_id[job_id]
             self.final_ids.pop(job_id, None)
+            self._reported_ids.discard(job_id)
 
     def _update_indexes(self, job_id: JobId, job: JobEntry) -> None:
         if job.progress.state.is_final:
             self.final_ids.setdefault(job_id)
+            self._reported_ids.discard(job_id)
         if job.record is None:
             return
         waiting_ids = self._waiting_ids_by_queue.setdefault(
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -40,6 +40,7 @@
 from arbutusladder.messages import (
     AdviceCall,
     AdviceReply,
+    EndedJobs,
     JobsInDoubt,
     JobsRelay,
     LogCall,
@@ -418,11 +419,14 @@
             if claim and not claim.released and claim.holder != self.vm:
                 seat = SeatId(claim.holder)
                 await self.peers.connect(seat, claim.address)
-                await self.peers.send(seat, MemberHello(self.vm, self.listen))
+                await self.peers.send(seat, self._hello())
             await curio.sleep(
                 HELLO_INTERVAL_S if self.members else INITIAL_HELLO_INTERVAL_S
             )
 
+    def _hello(self) -> MemberHello:
+        return MemberHello(self.vm, self.listen, self.table.unstored_ends())
+
     async def update_members(self, members: list[MemberHello]) -> None:
         """Stores the list of members and connects to those that forward log calls.
 
@@ -459,6 +463,8 @@
                 )
             case JobsInDoubt() as doubt:
                 self._mark_in_doubt(doubt.keys)
+            case EndedJobs() as ended:
+                self.table.apply_reported_ends(ended.states)
             case ProgressRelay() as relay:
                 self.apply_relayed_states(relay.offset, relay.states)
                 await self.appender.confirm(state.job_id for state in relay.states)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -16,6 +16,7 @@
 from arbutusladder import events
 from arbutusladder.backgroundtasks import log_failure
 from arbutusladder.cell.advicedispatcher import MEMBER_TIMEOUT_S, AdviceDispatcher
+from arbutusladder.cell.appender import SLOW_APPEND_S
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.interfaces import (
@@ -39,6 +40,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     CellClaim,
+    EndedJobs,
     MemberHello,
     MemberList,
     OwnerBeat,
@@ -238,6 +240,8 @@
     async def handle_hello(self, hello: MemberHello) -> None:
         """Registers the sender of a hello and answers with the list of members."""
         self.evidence.confirm()
+        for state in hello.ended:
+            self.state.apply_reported_end(state)
         seat = SeatId(hello.vm)
         now = self._clock.now()
         await self._register_member(hello, now)
@@ -295,7 +299,7 @@
         )
         self._max_heartbeat_delay_s = 0.0
 
-    async def _broadcast(self, message: OwnerBeat | ProgressRelay) -> None:
+    async def _broadcast(self, message: OwnerBeat | ProgressRelay | EndedJobs) -> None:
         for vm in self._last_hello_by_vm:
             await self._member.peers.send(SeatId(vm), message)
 
@@ -359,7 +363,9 @@
             return
         if job_id not in self.state.job_by_id:
             self.state.add_job(entry.record, entry.progress, now, inherited)
-        if entry.cancelled:
+        if entry.reported_end:
+            self.state.apply_reported_end(RelayedState(job_id, entry.reported_end))
+        elif entry.cancelled:
             self.state.cancel(job_id)
 
     async def _decision_loop(self) -> None:
@@ -406,6 +412,23 @@
             await self.end_ownership("a worker has seen a higher epoch")
         if changes.dirty:
             await self.writer.notify_changes()
+        await self._announce_unstored_ends()
+
+    async def _announce_unstored_ends(self) -> None:
+        """Tells the other entry VMs of ended jobs while the log is slow.
+
+        Otherwise callers learn of an end only once it is stored, at the end of an
+        outage. A successor learns of it from the worker or from these entry VMs.
+        """
+        now = self._clock.now()
+        if self.writer.newest_append_s(now) < SLOW_APPEND_S:
+            return
+        if not self.may_give_orders():
+            return
+        states = self.state.changes.take_unannounced()
+        if states:
+            self._member.table.apply_reported_ends(states)
+            await self._broadcast(EndedJobs(states))
 
     async def _send_order(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
         match order:
@@ -491,4 +514,7 @@
         states = [RelayedState(job_id, row.state) for job_id, row in progress]
         self._member.apply_relayed_states(offset, states)
         self.state.changes.storing = set()
+        self.state.changes.mark_stored(
+            row.job_id for row in states if row.state.is_final
+        )
         await self._broadcast(ProgressRelay(offset, states))
--- a/arbutusladder/cell/pendingchanges.py
+++ b/arbutusladder/cell/pendingchanges.py
@@ -1,9 +1,12 @@
 """Changes to a cell's state that its owner has not logged or stored yet."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from arbutusladder.cell.states import JobPhase
 from arbutusladder.events import Event
 from arbutusladder.ids import JobId
+from arbutusladder.messages import RelayedState
 
 
 @dataclass
@@ -14,10 +17,30 @@
         dirty: Jobs with progress to store.
         storing: Jobs whose progress is being stored.
         pending_events: Events for the event log, each with its fields.
+        ended_phase_by_id: Jobs that have ended and whose state is not stored yet.
+        announced_ids: Those of them whose end was announced to the other entry VMs.
         fenced: Whether a worker rejected an order because it knows a newer owner.
     """
 
     dirty: set[JobId] = field(default_factory=set)
     storing: set[JobId] = field(default_factory=set)
     pending_events: list[tuple[Event, dict]] = field(default_factory=list)
+    ended_phase_by_id: dict[JobId, JobPhase] = field(default_factory=dict)
+    announced_ids: set[JobId] = field(default_factory=set)
     fenced: bool = False
+
+    def take_unannounced(self) -> list[RelayedState]:
+        """Returns the ended jobs that were not announced yet, and marks them."""
+        states = [
+            RelayedState(job_id, phase)
+            for job_id, phase in self.ended_phase_by_id.items()
+            if job_id not in self.announced_ids
+        ]
+        self.announced_ids.update(state.job_id for state in states)
+        return states
+
+    def mark_stored(self, job_ids: Iterable[JobId]) -> None:
+        """Records that the states of jobs are stored."""
+        for job_id in job_ids:
+            self.ended_phase_by_id.pop(job_id, None)
+            self.announced_ids.discard(job_id)
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -193,6 +193,15 @@
     draining: bool
 
 
+@dataclass
+class EndedJobs:
+    """
+    Jobs that have ended and whose states the owner has not stored yet, because the log is slow or unavailable.
+    """
+
+    states: list[RelayedState]
+
+
 @dataclass
 class EndedTask:
     """
@@ -614,6 +623,10 @@
     """
     Address for answers.
     """
+    ended: list[RelayedState] = field(default_factory=list)
+    """
+    Jobs of which an owner reported the end and that the log does not contain yet.
+    """
 
 
 @dataclass
--- /dev/null
+++ b/tests/cell/test_jobtable.py
@@ -0,0 +1,74 @@
+"""Tests of the table of jobs: ends that are reported before they are stored."""
+
+from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.interfaces import KeyedRecord
+from arbutusladder.cell.jobtable import JobTable, progress_item, submission_item
+from arbutusladder.cell.states import JobPhase
+from arbutusladder.messages import JobProgress, RelayedState
+from tests.cell import workloads
+
+NOW = 100.0
+RECORD = workloads.quote(1)
+ENDED = RelayedState(RECORD.job_id, JobPhase.COMPLETED)
+
+
+def table_with_running_job():
+    """Returns a table with one job whose stored state is running."""
+    table = JobTable()
+    table.apply_jobs([KeyedRecord(0, *submission_item(RECORD))])
+    store(table, 0, JobPhase.RUNNING)
+    return table
+
+
+def store(table, offset, phase):
+    """Applies a stored state of the job."""
+    item = progress_item(RECORD.job_id, JobProgress(phase))
+    table.apply_progress([KeyedRecord(offset, *item)])
+
+
+class TestReportedEnd:
+    """Pattern: jobs end while the log is unavailable."""
+
+    def test_end_is_shown_before_it_is_stored(self):
+        """Guards against callers that learn of an end only after the outage."""
+        table = table_with_running_job()
+        table.apply_reported_ends([ENDED])
+        assert table.phase(RECORD.job_id) is JobPhase.COMPLETED
+        store(table, 1, JobPhase.RUNNING)
+        assert table.phase(RECORD.job_id) is JobPhase.COMPLETED
+        assert table.waiting_job_count(RECORD.queue.name) == 0
+
+    def test_end_is_passed_on_until_it_is_stored(self):
+        """Guards against a successor that does not learn of the end, or always does."""
+        table = table_with_running_job()
+        table.apply_reported_ends([ENDED])
+        assert table.unstored_ends() == [ENDED]
+        store(table, 1, JobPhase.COMPLETED)
+        assert table.unstored_ends() == []
+        table.apply_reported_ends([ENDED])
+        assert table.unstored_ends() == []
+
+    def test_unknown_job_is_ignored(self):
+        """Guards against showing a job that nobody submitted."""
+        table = JobTable()
+        table.apply_reported_ends([ENDED])
+        assert table.phase(RECORD.job_id) is None
+        assert table.unstored_ends() == []
+
+    def test_successor_starts_no_task_of_an_ended_job(self):
+        """Guards against running a job again whose end callers have seen."""
+        state = CellState(0.0, lambda task: None)
+        job = state.add_job(RECORD, JobProgress(JobPhase.RUNNING), NOW, inherited=True)
+        state.apply_reported_end(ENDED)
+        assert job.phase is JobPhase.COMPLETED
+        assert job.id in state.changes.dirty
+
+    def test_ends_are_announced_once_until_stored(self):
+        """Guards against a message for each end in every round of decisions."""
+        state = CellState(0.0, lambda task: None)
+        state.add_job(RECORD, JobProgress(JobPhase.RUNNING), NOW)
+        state.apply_reported_end(ENDED)
+        assert state.changes.take_unannounced() == [ENDED]
+        assert state.changes.take_unannounced() == []
+        state.changes.mark_stored([RECORD.job_id])
+        assert not state.changes.ended_phase_by_id and not state.changes.announced_ids
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -241,6 +241,28 @@
         assert all(done)
         assert passed > 0
 
+    def test_end_during_an_outage_is_shown_everywhere(self, tmp_path):
+        """Guards against callers that learn of an end only after the outage."""
+
+        async def scenario(cell):
+            for executor in cell.executors:
+                executor.task_s = 1.0
+            path = QUEUE_PREFIX + "6" * 16
+            await cell.client_request(0, "POST", path, job_body(count=1))
+            await curio.sleep(0.5)
+            cell.store.refusal_status = 503
+            shown = [await cell.wait_until_completed(n, "6" * 16) for n in (0, 1)]
+            cell.store.refusal_status = 0
+            await curio.sleep(1.5)
+            states = [await cell.job_state(n, "6" * 16) for n in (0, 1)]
+            starts = [task for e in cell.executors for task, _, _ in e.starts]
+            return shown, states, len(starts)
+
+        shown, states, starts = run_scenario(tmp_path, scenario)
+        assert shown == [True, True]
+        assert states == ["completed", "completed"]
+        assert starts == 1
+
     def test_new_job_during_an_outage_is_refused_and_never_runs(self, tmp_path):
         """Guards against running a job whose submission was refused."""
 
