Probe the log at the end of topics, and follow relays again after a gap

Change: the appender reads the jobs that are new to it; the forwarding log reads the claims topic at its end. Besides, a relay of states that overtakes the answer of a read counts once the read arrives; before, one lost relay made an entry VM read the whole progress topic from then on.

--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -11,7 +11,7 @@
 
 import curio
 
-from arbutusladder.cell.interfaces import KeyedLog, KeyedRecord, OffsetDeleted
+from arbutusladder.cell.interfaces import KeyedLog, KeyedRecord
 from arbutusladder.cell.jobtable import JOBS_TOPIC
 from arbutusladder.cell.states import SubmissionOutcome
 from arbutusladder.clock import Clock
@@ -239,7 +239,7 @@
 
     async def _read_back(self) -> None:
         if await self._peers.read_back():
-            # The log is slow rather than unavailable, so items are not refused.
+            # The log is slow or available again, so items are not refused.
             self._failing_since = None
 
     def _passes_to_owner(self) -> bool:
@@ -281,15 +281,8 @@
         """Probes the log during an outage to detect its end, until cancelled."""
         while True:
             await curio.sleep(PROBE_INTERVAL_S)
-            if self._failing_since is None or self._pending:
-                continue
-            try:
-                await self._log.read(JOBS_TOPIC, 0)
-            except LogUnavailable:
-                continue
-            except OffsetDeleted:
-                pass  # The log answered, so it is available again.
-            self._failing_since = None
+            if self._failing_since is not None and not self._pending:
+                await self._read_back()
 
     async def _append_batch(self) -> None:
         passes = self._passes_to_owner()
--- a/arbutusladder/cell/forwardinglog.py
+++ b/arbutusladder/cell/forwardinglog.py
@@ -73,6 +73,7 @@
         self._forwarders: Callable[[], list[SeatId]] = list
         self._call_numbers = itertools.count(1)
         self._failed_at_by_forwarder: dict[SeatId, float] = {}
+        self._end_by_topic: dict[str, int] = {}
         self.forwarding = False
 
     def set_forwarders(
@@ -111,7 +112,9 @@
             lambda: self._direct.append(topic, items, expected_end, writer, timeout),
             call,
         )
-        return reply.offset if isinstance(reply, LogReply) else reply
+        offset = reply.offset if isinstance(reply, LogReply) else reply
+        self._end_by_topic[topic] = offset + len(items)
+        return offset
 
     async def set_epoch(self, topic: str, writer: WriterPosition) -> None:
         """See `arbutusladder.cell.interfaces.KeyedLog.set_epoch`."""
@@ -125,17 +128,21 @@
         reply = await self._call_or_forward(
             lambda: self._direct.read(topic, offset, wait), call
         )
+        batch = reply if isinstance(reply, LogBatch) else _batch(reply)
+        self._end_by_topic[topic] = batch.end
         if isinstance(reply, LogBatch):
-            return reply
+            return batch
         if wait and not reply.records:
             await curio.sleep(min(wait, FORWARDED_READ_WAIT_S))
-        return _batch(reply)
+        return batch
 
     async def newest(self, topic: str) -> LogBatch:
         """See `arbutusladder.cell.interfaces.KeyedLog.newest`."""
         call = self._new_call(LogMethod.NEWEST, topic, None)
         reply = await self._call_or_forward(lambda: self._direct.newest(topic), call)
-        return reply if isinstance(reply, LogBatch) else _batch(reply)
+        batch = reply if isinstance(reply, LogBatch) else _batch(reply)
+        self._end_by_topic[topic] = batch.end
+        return batch
 
     async def serve_forwarded(self, call: LogCall) -> LogReply:
         """Makes a call for another entry VM; does not forward it again."""
@@ -248,8 +255,11 @@
             self._failed_at_by_forwarder[forwarder] = self._clock.now()
 
     async def _is_log_reachable(self) -> bool:
+        # Reads at the end of the topic: the records before it would take a second over
+        # the slowest links, which then are too busy for calls of the log.
+        offset = self._end_by_topic.get(PROBE_TOPIC, 0)
         try:
-            await self._direct.read(PROBE_TOPIC, 0)
+            await self._direct.read(PROBE_TOPIC, offset)
         except LogUnavailable:
             return False
         except OffsetDeleted:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -32,6 +32,7 @@
 )
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.owner import Owner
+from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.states import JobPhase, SubmissionOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -168,7 +169,7 @@
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
         self._jobs_offset = 0
-        self._progress_offset = 0
+        self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
         self.loaded = False
 
@@ -278,7 +279,7 @@
             await self._apply_jobs(jobs.records)
             self.table.apply_progress(progress.records)
             self._jobs_offset = jobs.next_offset
-            self._progress_offset = progress.next_offset
+            self._progress_position.record_read(progress.next_offset)
             self.loaded = True
             # This entry VM may claim the cell from now on.
             self.claims.poll_soon()
@@ -381,37 +382,34 @@
     async def read_progress(self) -> None:
         """Reads the progress topic to its end."""
         while True:
-            start = self._progress_offset
             try:
-                batch = await self.log.read(PROGRESS_TOPIC, start)
+                batch = await self.log.read(
+                    PROGRESS_TOPIC, self._progress_position.offset
+                )
             except OffsetDeleted:
                 batch = await self.log.newest(PROGRESS_TOPIC)
             self.table.apply_progress(batch.records)
             await self.appender.confirm(record.key for record in batch.records)
-            self._progress_offset = max(self._progress_offset, batch.next_offset)
-            if self._progress_offset >= batch.end or not batch.records:
+            self._progress_position.record_read(batch.next_offset)
+            if self._progress_position.offset >= batch.end or not batch.records:
                 return
 
     async def reload_progress(self) -> None:
         """Reads the complete progress; the owner relays only job states."""
         batch = await self.log.newest(PROGRESS_TOPIC)
         self.table.apply_progress(batch.records)
-        self._progress_offset = max(self._progress_offset, batch.next_offset)
+        self._progress_position.record_read(batch.next_offset)
         await self.read_progress()
 
     def apply_relayed_states(self, offset: int, states: list[RelayedState]) -> None:
         """Applies job states that the owner relayed.
 
-        After a gap the position in the topic is not advanced, so the next read of the
-        topic fetches the missing records.
-
         Args:
             offset: Offset of the first record in the progress topic.
             states: States of the records from there on, in order.
         """
         self.table.apply_relayed_states(offset, states)
-        if offset == self._progress_offset:
-            self._progress_offset += len(states)
+        self._progress_position.record_relay(offset, len(states))
 
     async def _send_hellos(self) -> None:
         while True:
--- a/tests/cell/test_appender.py
+++ b/tests/cell/test_appender.py
@@ -7,6 +7,7 @@
 
 from arbutusladder.cell.appender import (
     OUTAGE_THRESHOLD_S,
+    PROBE_INTERVAL_S,
     JobAppender,
     OwnerStoreReply,
 )
@@ -262,3 +263,30 @@
         outcome, seconds = curio.run(main)
         assert outcome is SubmissionOutcome.ACCEPTED
         assert seconds < 0.5
+
+
+class TestProbe:
+    """Pattern: an outage of the log ends while all entry VMs probe it."""
+
+    def test_probe_reads_only_what_is_new(self):
+        """Guards against probes that read the topic from its start.
+
+        A log without a ``read`` method stands for one that must not be read directly.
+        """
+
+        class AnsweringPeers(SinglePeers):
+            async def read_back(self):
+                """Returns that the log answers."""
+                return True
+
+        async def main():
+            clock = Clock()
+            appender = JobAppender(ScriptedLog(), clock, AnsweringPeers())
+            appender._failing_since = clock.now() - 5.0
+            assert appender.in_outage(clock.now())
+            task = await curio.spawn(appender.probe, daemon=True)
+            await curio.sleep(2 * PROBE_INTERVAL_S)
+            await task.cancel()
+            return appender.in_outage(clock.now())
+
+        assert not curio.run(main)
--- a/tests/cell/test_forwardinglog.py
+++ b/tests/cell/test_forwardinglog.py
@@ -2,7 +2,12 @@
 
 import curio
 
-from arbutusladder.cell.forwardinglog import ForwardingLog
+from arbutusladder.cell.forwardinglog import (
+    PROBE_INTERVAL_S,
+    PROBE_TOPIC,
+    ForwardingLog,
+)
+from arbutusladder.cell.interfaces import LogBatch
 from arbutusladder.cell.states import LogResult
 from arbutusladder.clock import ManualClock
 from arbutusladder.errors import LogUnavailable
@@ -67,3 +72,48 @@
                 assert error.maybe_applied
         peers.silent = set()
         assert self.append(log, clock) == 7
+
+
+class RecoveringLog:
+    """A log with a long topic, which is unreachable at first.
+
+    Attributes:
+        reachable: Whether it answers.
+        read_offsets: Offsets of the reads.
+    """
+
+    def __init__(self):
+        self.reachable = True
+        self.read_offsets = []
+
+    async def read(self, topic, offset, wait=0.0):
+        """Returns the records from an offset to the end at 500."""
+        if not self.reachable:
+            raise LogUnavailable("unreachable", maybe_applied=False)
+        self.read_offsets.append(offset)
+        return LogBatch([], 500, 500)
+
+
+class TestProbe:
+    """Pattern: an outage of the log ends while all entry VMs probe it."""
+
+    def test_probe_reads_no_records(self):
+        """Guards against probes that fill slow links with old records."""
+        direct = RecoveringLog()
+        log = ForwardingLog(direct, "a:1", ManualClock(), Journal("a"), Metrics())
+
+        async def main():
+            await log.read(PROBE_TOPIC, 0)
+            direct.reachable = False
+            try:
+                await log.read(PROBE_TOPIC, 500)
+            except LogUnavailable:
+                pass
+            direct.reachable, direct.read_offsets = True, []
+            task = await curio.spawn(log.run, daemon=True)
+            await curio.sleep(2.5 * PROBE_INTERVAL_S)
+            await task.cancel()
+
+        curio.run(main)
+        assert not log.forwarding
+        assert direct.read_offsets == [500]
