Share reads of the jobs topic, relay changed states only, forward over strong links

Behind links of 5 Mbit/s the reads of one second overlapped with the next ones; keyed.jobs was read at 300 to 1,600 KB/s where 63 KB/s were new, which choked the links for good: connections to the log timed out, acceptance took 0.8 s, calls for advice took twice their time. Reads of refused entry VMs went through others with such links. The owner sent 0.5 to 1.2 MB/s, most of it states that had not changed. Change: concurrent callers share one read that began after their calls; the owner relays only states that differ from the last relayed ones; undersized entry VMs forward calls only if there are no others; jobs are not passed to an owner that cannot reach the log.

--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -105,7 +105,7 @@
         """Reads the jobs topic to its end; returns whether the log answered."""
 
     def has_other_owner(self) -> bool:
-        """Returns whether another entry VM owns the cell."""
+        """Returns whether another entry VM owns the cell and reaches the log."""
 
     async def store_at_owner(
         self, items: list[StoreItem], wait_s: float
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -149,14 +149,15 @@
         The states carry no finished steps; the records replace them later.
 
         Args:
-            offset: Offset of the first state's record; the others follow it.
-            states: Job states in the order of their records.
+            offset: Offset of the first record of the append. It also stands for that
+                of the other states, so that each record still replaces its state.
+            states: Job states.
         """
-        for number, state in enumerate(states):
+        for state in states:
             job = self.job_by_id.setdefault(state.job_id, JobEntry())
-            if offset + number > job.progress_offset:
+            if offset > job.progress_offset:
                 job.progress = JobProgress(state.state)
-                job.progress_offset = offset + number
+                job.progress_offset = offset
                 self._update_indexes(state.job_id, job)
 
     def apply_reported_ends(self, states: list[RelayedState]) -> None:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -33,6 +33,7 @@
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.owner import Owner
 from arbutusladder.cell.progressposition import ProgressPosition
+from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.cell.states import JobPhase, SubmissionOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -51,7 +52,6 @@
     MemberList,
     OwnerBeat,
     ProgressRelay,
-    RelayedState,
     StoreCall,
     StoreItem,
     StoreReply,
@@ -165,10 +165,12 @@
         self.appender = JobAppender(self.log, self._clock, self)
         self.log.set_forwarders(self.peers, self._forwarding_seats)
         self.members: list[MemberHello] = []
+        self._owner_reaches_log = True
         self._in_doubt_until_by_key: dict[str, float] = {}
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
         self._jobs_offset = 0
+        self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
         self.loaded = False
@@ -307,9 +309,14 @@
         return True
 
     def has_other_owner(self) -> bool:
-        """Returns whether another entry VM owns the cell."""
+        """Returns whether another entry VM owns the cell and reaches the log."""
         claim = self.claims.current
-        return claim is not None and not claim.released and claim.holder != self.vm
+        return (
+            claim is not None
+            and not claim.released
+            and claim.holder != self.vm
+            and self._owner_reaches_log
+        )
 
     async def store_at_owner(
         self, items: list[StoreItem], wait_s: float
@@ -361,6 +368,9 @@
 
     async def read_jobs(self) -> None:
         """Reads the jobs topic to its end."""
+        await self._shared_jobs_read.run()
+
+    async def _read_jobs(self) -> None:
         while True:
             try:
                 batch = await self.log.read(JOBS_TOPIC, self._jobs_offset)
@@ -401,15 +411,11 @@
         self._progress_position.record_read(batch.next_offset)
         await self.read_progress()
 
-    def apply_relayed_states(self, offset: int, states: list[RelayedState]) -> None:
-        """Applies job states that the owner relayed.
-
-        Args:
-            offset: Offset of the first record in the progress topic.
-            states: States of the records from there on, in order.
-        """
-        self.table.apply_relayed_states(offset, states)
-        self._progress_position.record_relay(offset, len(states))
+    def apply_relay(self, relay: ProgressRelay) -> None:
+        """Applies job states that the owner relayed."""
+        self.table.apply_relayed_states(relay.offset, relay.states)
+        count = relay.count or len(relay.states)
+        self._progress_position.record_relay(relay.offset, count)
 
     async def _send_hellos(self) -> None:
         while True:
@@ -423,17 +429,13 @@
             )
 
     def _hello(self) -> MemberHello:
-        return MemberHello(self.vm, self.listen, self.table.unstored_ends())
+        undersized = self._dependencies.settings.undersized
+        return MemberHello(self.vm, self.listen, self.table.unstored_ends(), undersized)
 
     async def update_members(self, members: list[MemberHello]) -> None:
-        """Stores the list of members and connects to those that forward log calls.
-
-        These are the entry VMs that follow this one in the order of their names.
-        """
+        """Stores the list of members and connects to those that forward log calls."""
         self.members = [member for member in members if member.vm != self.vm]
-        by_name = sorted(self.members, key=lambda member: member.vm)
-        successors = [member for member in by_name if member.vm > self.vm]
-        forwarders = (successors + by_name)[:MAX_FORWARDING_MEMBERS]
+        forwarders = select_forwarders(self.vm, self.members)
         self._address_by_forwarding_vm = {
             member.vm: member.listen for member in forwarders
         }
@@ -464,7 +466,7 @@
             case EndedJobs() as ended:
                 self.table.apply_reported_ends(ended.states)
             case ProgressRelay() as relay:
-                self.apply_relayed_states(relay.offset, relay.states)
+                self.apply_relay(relay)
                 await self.appender.confirm(state.job_id for state in relay.states)
             case AdviceCall() as call:
                 await curio.spawn(
@@ -482,6 +484,7 @@
                 await self.peers.resolve_call(reply)
             case OwnerBeat() as beat:
                 self.appender.owner_append_s = beat.append_s
+                self._owner_reaches_log = beat.reaches_log
                 await self.claims.handle_heartbeat(beat)
 
     async def _serve_advice_call(self, sender: SeatId, call: AdviceCall) -> None:
@@ -489,3 +492,16 @@
             call.request_id, call.stage, call.workers, call.timeout_s
         )
         await self.peers.send(sender, reply)
+
+
+def select_forwarders(vm: VmId, members: list[MemberHello]) -> list[MemberHello]:
+    """Returns the entry VMs that should forward log calls of one of them.
+
+    Undersized ones come last: a forwarded read takes the bandwidth of both links. Among
+    the others, those that follow in the order of names come first, so that the calls
+    spread over them.
+    """
+    ranked = sorted(
+        members, key=lambda member: (member.undersized, member.vm < vm, member.vm)
+    )
+    return ranked[:MAX_FORWARDING_MEMBERS]
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -247,10 +247,16 @@
         await self._register_member(hello, now)
         oldest = now - MEMBER_TIMEOUT_S
         active_members = [
-            hello for at, hello in self._last_hello_by_vm.values() if at > oldest
+            MemberHello(hello.vm, hello.listen, undersized=hello.undersized)
+            for at, hello in self._last_hello_by_vm.values()
+            if at > oldest
         ]
         await self._member.update_members(active_members)
-        own_hello = MemberHello(self._member.vm, self._member.listen)
+        own_hello = MemberHello(
+            self._member.vm,
+            self._member.listen,
+            undersized=self._dependencies.settings.undersized,
+        )
         await self._member.peers.send(seat, MemberList([own_hello, *active_members]))
 
     async def _register_member(self, hello: MemberHello, now: float) -> None:
@@ -268,8 +274,14 @@
             )
             claim = self._member.claims.current
             sequence = claim.sequence if claim and claim.epoch == self.epoch else -1
+            reaches_log = not self._member.log.forwarding
             await self._broadcast(
-                OwnerBeat(self.epoch, append_s=append_s, claim_sequence=sequence)
+                OwnerBeat(
+                    self.epoch,
+                    append_s=append_s if reaches_log else 0.0,
+                    reaches_log=reaches_log,
+                    claim_sequence=sequence,
+                )
             )
             due_at = now + HEARTBEAT_INTERVAL_S
             await curio.sleep(HEARTBEAT_INTERVAL_S)
@@ -511,10 +523,11 @@
 
     async def _on_progress_stored(self, offset: int, progress: ProgressBatch) -> None:
         self.evidence.confirm()
+        changes = self.state.changes
         states = [RelayedState(job_id, row.state) for job_id, row in progress]
-        self._member.apply_relayed_states(offset, states)
-        self.state.changes.storing = set()
-        self.state.changes.mark_stored(
-            row.job_id for row in states if row.state.is_final
-        )
-        await self._broadcast(ProgressRelay(offset, states))
+        changed = changes.select_changed(states)
+        changes.storing = set()
+        changes.mark_stored(row.job_id for row in states if row.state.is_final)
+        relay = ProgressRelay(offset, changed, len(states))
+        self._member.apply_relay(relay)
+        await self._broadcast(relay)
--- a/arbutusladder/cell/pendingchanges.py
+++ b/arbutusladder/cell/pendingchanges.py
@@ -19,6 +19,7 @@
         pending_events: Events for the event log, each with its fields.
         ended_phase_by_id: Jobs that have ended and whose state is not stored yet.
         announced_ids: Those of them whose end was announced to the other entry VMs.
+        relayed_phase_by_id: States of unfinished jobs as last relayed.
         fenced: Whether a worker rejected an order because it knows a newer owner.
     """
 
@@ -27,8 +28,23 @@
     pending_events: list[tuple[Event, dict]] = field(default_factory=list)
     ended_phase_by_id: dict[JobId, JobPhase] = field(default_factory=dict)
     announced_ids: set[JobId] = field(default_factory=set)
+    relayed_phase_by_id: dict[JobId, JobPhase] = field(default_factory=dict)
     fenced: bool = False
 
+    def select_changed(self, states: list[RelayedState]) -> list[RelayedState]:
+        """Returns the states that differ from those relayed last, and marks them."""
+        changed = [
+            state
+            for state in states
+            if self.relayed_phase_by_id.get(state.job_id) is not state.state
+        ]
+        for state in changed:
+            if state.state.is_final:
+                self.relayed_phase_by_id.pop(state.job_id, None)
+            else:
+                self.relayed_phase_by_id[state.job_id] = state.state
+        return changed
+
     def take_unannounced(self) -> list[RelayedState]:
         """Returns the ended jobs that were not announced yet, and marks them."""
         states = [
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -627,6 +627,10 @@
     """
     Jobs of which an owner reported the end and that the log does not contain yet.
     """
+    undersized: bool = False
+    """
+    Whether it has too few resources to help other entry VMs.
+    """
 
 
 @dataclass
@@ -667,7 +671,11 @@
     """
     append_s: float = 0.0
     """
-    Duration of the owner's newest append in seconds.
+    Duration of the owner's newest append in seconds; 0 if it cannot reach the log.
+    """
+    reaches_log: bool = True
+    """
+    Whether the owner reaches the log itself.
     """
     claim_sequence: int = -1
     """
@@ -686,6 +694,13 @@
     Offset of the first record.
     """
     states: list[RelayedState]
+    """
+    States that have changed.
+    """
+    count: int = 0
+    """
+    Number of records; 0 if there is one for each state.
+    """
 
 
 @dataclass
--- a/tests/cell/test_jobtable.py
+++ b/tests/cell/test_jobtable.py
@@ -4,7 +4,7 @@
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.jobtable import JobTable, progress_item, submission_item
 from arbutusladder.cell.states import JobPhase
-from arbutusladder.messages import JobProgress, RelayedState
+from arbutusladder.messages import JobProgress, RelayedState, StageProgress
 from tests.cell import workloads
 
 NOW = 100.0
@@ -72,3 +72,25 @@
         assert state.changes.take_unannounced() == []
         state.changes.mark_stored([RECORD.job_id])
         assert not state.changes.ended_phase_by_id and not state.changes.announced_ids
+
+
+class TestRelayedStates:
+    """Pattern: the owner stores the progress of many jobs in one append."""
+
+    def test_only_changed_states_are_relayed(self):
+        """Guards against relays of every stored record to every entry VM."""
+        changes = CellState(0.0, lambda task: None).changes
+        running = RelayedState(RECORD.job_id, JobPhase.RUNNING)
+        other = RelayedState(workloads.job_id(2), JobPhase.RUNNING)
+        assert changes.select_changed([running]) == [running]
+        assert changes.select_changed([running, other]) == [other]
+        assert changes.select_changed([ENDED, other]) == [ENDED]
+
+    def test_record_of_the_same_append_replaces_the_state(self):
+        """Guards against a successor that lacks the finished tasks of a job."""
+        table = table_with_running_job()
+        table.apply_relayed_states(5, [RelayedState(RECORD.job_id, JobPhase.RUNNING)])
+        stages = [StageProgress(0, 0, [1], [], [1, 1], [])]
+        item = progress_item(RECORD.job_id, JobProgress(JobPhase.RUNNING, stages))
+        table.apply_progress([KeyedRecord(7, *item)])
+        assert table.job_by_id[RECORD.job_id].progress.stages == stages
