--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -4,6 +4,7 @@
 answers and reports of workers, and stores the progress of changed jobs in the log.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -59,6 +60,8 @@
             progress is not stored.
         worker_by_vm: Workers that are registered or whose runs or leases may not have
             ended.
+        inherited_lease_s: Seconds after which a lease ends that a previous owner grants
+            now.
         unreported: Workers that have not reported since the takeover and may run tasks
             that this owner does not know.
         listed_silent_vms: Workers that the claim lists as silent. Nothing is started on
@@ -75,6 +78,7 @@
         self._wall_offset = wall_offset
         self.job_by_id: dict[JobId, Job] = {}
         self.worker_by_vm: dict[VmId, Worker] = {}
+        self.inherited_lease_s = math.inf
         self.unreported = UnreportedWorkers()
         self.listed_silent_vms: set[VmId] = set()
         self.listed_expiring_vms: set[VmId] = set()
@@ -182,6 +186,8 @@
         if worker is None:
             return 0
         self._report_processor.apply(worker, report, sent_at, now)
+        # The worker has seen this owner's epoch, so it obeys no previous one.
+        worker.limit_inherited_leases(now + self.inherited_lease_s)
         if self.unreported.remove(vm):
             self._stop_partial_gangs()
         return worker.last_end_number
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -217,8 +217,12 @@
     @property
     def _max_lease_s(self) -> float:
         """Seconds after which the leases of an owner replaced now have ended."""
-        lease_s = self.lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_END_MARGIN_S
-        return PREDECESSOR_RENEWAL_WINDOW_S + lease_s
+        return PREDECESSOR_RENEWAL_WINDOW_S + self._lease_end_s
+
+    @property
+    def _lease_end_s(self) -> float:
+        """Seconds after which a lease granted now has ended on the slowest clock."""
+        return self.lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_END_MARGIN_S
 
     async def handle_job_changes(self, job_ids: list[JobId]) -> None:
         """Adds new jobs and applies cancellations that were read from the log.
@@ -344,6 +348,7 @@
         now = self._clock.now()
         for job_id in list(self._member.table.job_by_id):
             self._track_job(job_id, now, inherited=True)
+        self.state.inherited_lease_s = self._lease_end_s
         has_inherited_jobs = bool(self.state.job_by_id)
         if has_inherited_jobs:
             self._await_reports(now)
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -1,5 +1,6 @@
 """Workers in the owner's state: free resources, runs, leases and health."""
 
+import math
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.interfaces import WorkerEntry
@@ -110,6 +111,7 @@
     _clock: float | None = None
     _clock_received_at: float = 0.0
     _leases_expire_at: float | None = None
+    _inherited_leases_expire_at: float = -math.inf
 
     @classmethod
     def create(cls, entry: WorkerEntry) -> "Worker":
@@ -176,7 +178,8 @@
 
     def leases_expired(self, now: float) -> bool:
         """Returns whether every granted lease has ended, even on the slowest clock."""
-        return self._leases_expire_at is None or now > self._leases_expire_at
+        own_expired = self._leases_expire_at is None or now > self._leases_expire_at
+        return own_expired and now > self._inherited_leases_expire_at
 
     def assume_lease(self, expires_at: float) -> None:
         """Records that a previous owner may have granted a lease.
@@ -184,7 +187,18 @@
         Args:
             expires_at: Monotonic time in seconds at which it has certainly ended.
         """
-        self._leases_expire_at = max(self._leases_expire_at or 0.0, expires_at)
+        self._inherited_leases_expire_at = expires_at
+
+    def limit_inherited_leases(self, expires_at: float) -> None:
+        """Records that no previous owner can extend its leases any longer.
+
+        Args:
+            expires_at: Monotonic time in seconds at which leases granted until now have
+                certainly ended.
+        """
+        self._inherited_leases_expire_at = min(
+            self._inherited_leases_expire_at, expires_at
+        )
 
     def clock_known(self) -> bool:
         """Returns whether the worker's clock is known, which lease times require."""
--- a/tests/cell/test_workers.py
+++ b/tests/cell/test_workers.py
@@ -73,6 +73,28 @@
         assert not worker.leases_expired(NOW + 5.0)
 
 
+class TestInheritedLease:
+    """Pattern: a worker crashes some seconds after a takeover."""
+
+    def test_report_to_the_successor_ends_the_predecessors_extensions(self):
+        """Guards against waiting for a predecessor that the worker no longer obeys."""
+        worker = make_worker()
+        worker.assume_lease(NOW + 8.3)
+        assert not worker.leases_expired(NOW + 8.2)
+        worker.limit_inherited_leases(NOW + 1.0 + 5.3)
+        assert not worker.leases_expired(NOW + 6.2)
+        assert worker.leases_expired(NOW + 6.4)
+
+    def test_own_leases_count_besides(self):
+        """Guards against restarting a task while the own lease is valid."""
+        worker = make_worker()
+        worker.assume_lease(NOW + 8.3)
+        worker.grant_lease(NOW + 4.0, 5.0)
+        worker.limit_inherited_leases(NOW + 5.3)
+        assert not worker.leases_expired(NOW + 9.0)
+        assert worker.leases_expired(NOW + 9.5)
+
+
 class TestSpeed:
     """Workers whose runs take longer than estimated."""
 
