Count a listed lease from the end of the ownership if it may have been extended

Found by reading: a worker that answers again during a log outage stays listed as silent, but its leases are extended; a successor that subtracts the age of the claim would restart its tasks too soon. Rows now say whether the owner may extend the leases. Test: TestSilentWorkersOfThePredecessor (fails without the distinction). One reader of log files for 'trace' and 'waits'.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -307,7 +307,9 @@
                 as it may for every registered worker.
         """
         unreported = [
-            replace(row, lease_s=lease_s) if row.vm in self.worker_by_vm else row
+            replace(row, lease_s=lease_s, is_extended=True)
+            if row.vm in self.worker_by_vm
+            else row
             for row in self.unreported.describe(now)
         ]
         listed = {row.vm for row in unreported}
@@ -315,7 +317,8 @@
             SilentWorker(
                 vm,
                 lease_s,
-                sorted({r.job_id for r in worker.run_by_key.values()}),
+                True,
+                sorted({run.job_id for run in worker.run_by_key.values()}),
                 False,
             )
             for vm, worker in self.worker_by_vm.items()
@@ -334,7 +337,7 @@
             self.listed_expiring_vms = set()
         for row in silent:
             self.listed_silent_vms.add(row.vm)
-            if row.vm not in self.worker_by_vm:
+            if not row.is_extended:
                 self.listed_expiring_vms.add(row.vm)
 
     def stage(self, key: str) -> Stage | None:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -369,7 +369,9 @@
         for vm in (*self.state.worker_by_vm, *self._claim.silent_workers):
             unreported.add(VmId(vm), now + self._max_lease_s)
         for row in self._claim.silent:
-            until = now + row.lease_s - self._claim_age_s
+            # A lease that was not extended has also run since the claim was renewed.
+            age_s = 0.0 if row.is_extended else self._claim_age_s
+            until = now + row.lease_s - age_s
             unreported.add(row.vm, until, None if row.any_job else row.job_ids)
         unreported.remove_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
--- a/arbutusladder/cell/unreported.py
+++ b/arbutusladder/cell/unreported.py
@@ -84,6 +84,7 @@
             SilentWorker(
                 vm,
                 max(0.0, row.until - now),
+                False,
                 sorted(row.job_ids or ()),
                 row.job_ids is None,
             )
--- a/arbutusladder/jobtrace.py
+++ b/arbutusladder/jobtrace.py
@@ -195,15 +195,20 @@
     return lines
 
 
-def read_log_files(paths: list[str]) -> list[LoggedEvent]:
-    """Returns the events in log files; reports skipped lines on standard error.
+def read_log_files(paths: list[str]) -> list[LoggedEvent] | None:
+    """Returns the events in log files, or None if a file cannot be read.
 
-    Raises:
-        OSError: A file cannot be read.
+    Skipped lines and errors are reported on standard error.
     """
     lines: list[str] = []
     for path in paths:
-        lines += Path(path).read_text(encoding="utf-8", errors="replace").split("\n")
+        try:
+            text = Path(path).read_text(encoding="utf-8", errors="replace")
+        except OSError as error:
+            message = f"error: {path}: {error}; name a log file"
+            print(escape_unprintable(message), file=sys.stderr)
+            return None
+        lines += text.split("\n")
     logged, skipped_count = parse_log_lines(lines)
     if skipped_count:
         print(f"ignored {skipped_count} lines without an event", file=sys.stderr)
@@ -218,11 +223,8 @@
         print(error, file=sys.stderr)
         return ExitCode.USAGE
     job_id = options["ID"]
-    try:
-        logged = read_log_files(options["FILE"])
-    except OSError as error:
-        text = f"error: {error.filename}: {error.strerror}; name a log file"
-        print(escape_unprintable(text), file=sys.stderr)
+    logged = read_log_files(options["FILE"])
+    if logged is None:
         return ExitCode.USAGE
     trace = trace_job(logged, job_id)
     if not trace:
--- a/arbutusladder/jobwaits.py
+++ b/arbutusladder/jobwaits.py
@@ -161,11 +161,8 @@
     except (DocoptExit, ValueError) as error:
         print(error, file=sys.stderr)
         return ExitCode.USAGE
-    try:
-        logged = read_log_files(options["FILE"])
-    except OSError as error:
-        text = f"error: {error.filename}: {error.strerror}; name a log file"
-        print(escape_unprintable(text), file=sys.stderr)
+    logged = read_log_files(options["FILE"])
+    if logged is None:
         return ExitCode.USAGE
     times_by_job = collect_job_times(logged)
     jobs_by_queue: dict[str, list[JobTimes]] = defaultdict(list)
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -881,6 +881,10 @@
     """
     Seconds after which all its leases have ended.
     """
+    is_extended: bool
+    """
+    Whether the owner may still extend its leases, so that the seconds count from the end of the ownership.
+    """
     job_ids: list[JobId]
     """
     Jobs of which tasks may run on it.
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -7,9 +7,10 @@
 from arbutusladder.cell.confirmation import EVIDENCE_VALIDITY_S, OwnershipEvidence
 from arbutusladder.cell.interfaces import OrderAnswer, StartOrder, WorkerReport
 from arbutusladder.cell.owner import PREDECESSOR_RENEWAL_WINDOW_S, Owner
-from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.cell.states import JobPhase, OrderOutcome
 from arbutusladder.clock import ManualClock
 from arbutusladder.journal import Journal
+from arbutusladder.messages import CellClaim, JobProgress, SilentWorker
 from arbutusladder.metrics import Metrics
 from tests.cell import workloads
 
@@ -182,3 +183,30 @@
     def test_evidence_expires_before_a_successor_relies_on_it(self):
         """Guards against a window in which both owners give orders."""
         assert EVIDENCE_VALIDITY_S + ORDER_DELIVERY_S <= PREDECESSOR_RENEWAL_WINDOW_S
+
+
+class TestSilentWorkersOfThePredecessor:
+    """Pattern: the owner is replaced at the end of a log outage of several seconds."""
+
+    @pytest.mark.parametrize("is_extended", [True, False])
+    def test_leases_that_were_extended_during_the_outage_are_waited_for(
+        self, is_extended
+    ):
+        """Guards against a second run on a worker that answered during the outage.
+
+        The predecessor could not renew its claim, which lists the worker as silent.
+        """
+        owner, clock = make_owner({}, ScriptedOrders())
+        job = owner.state.add_job(
+            workloads.quote(1), JobProgress(JobPhase.RUNNING), clock.now(), True
+        )
+        row = SilentWorker("w-009", 5.0, is_extended, [job.id], False)
+        owner._claim = CellClaim(1, "a", "a:1", 0, silent=[row])
+        owner._claim_age_s = 4.0
+        owner._await_reports(clock.now())
+        owner.state.unreported.remove(workloads.workers()[0].vm)
+        assert owner.state.is_blocked(job)
+        owner.state.expire_leases(clock.now() + 1.5)
+        assert owner.state.is_blocked(job) is is_extended
+        owner.state.expire_leases(clock.now() + 5.5)
+        assert not owner.state.is_blocked(job)
