Do not forward calls that a slow log has not answered yet

Change: after a slow answer within the last 2.5 s a call without an answer is left to its caller's retry; a refused one is forwarded by itself. Tests: tests/cell/test_forwardinglog.py (TestSlowLog); the second case is the old behaviour, which stays.

--- a/arbutusladder/cell/forwardinglog.py
+++ b/arbutusladder/cell/forwardinglog.py
@@ -8,6 +8,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Awaitable, Callable
 
 import curio
@@ -38,6 +39,11 @@
 FORWARDING_TIMEOUT_S = 0.9
 # Seconds between probes whether the log can be reached directly again.
 PROBE_INTERVAL_S = 0.3
+# Duration of a direct call in seconds from which the log counts as slow.
+SLOW_ANSWER_S = 0.1
+# Seconds after a slow answer within which a call without an answer is not forwarded:
+# the log still handles it, and a second one would only wait behind it.
+SLOW_ANSWER_VALIDITY_S = 2.5
 # Longest wait in seconds before a forwarded read returns without records.
 FORWARDED_READ_WAIT_S = 0.1
 
@@ -74,6 +80,8 @@
         self._call_numbers = itertools.count(1)
         self._failed_at_by_forwarder: dict[SeatId, float] = {}
         self._end_by_topic: dict[str, int] = {}
+        self._answered_at = -math.inf
+        self._answer_s = 0.0
         self.forwarding = False
 
     def set_forwarders(
@@ -126,7 +134,7 @@
         call = self._new_call(LogMethod.READ, topic, None)
         call.offset = offset
         reply = await self._call_or_forward(
-            lambda: self._direct.read(topic, offset, wait), call
+            lambda: self._direct.read(topic, offset, wait), call, wait
         )
         batch = reply if isinstance(reply, LogBatch) else _batch(reply)
         self._end_by_topic[topic] = batch.end
@@ -196,15 +204,30 @@
             call.sequence = writer.sequence
         return call
 
-    async def _call_or_forward(self, direct: Callable[[], Awaitable], call: LogCall):
-        maybe_applied = False
-        if not self.forwarding:
-            try:
-                return await direct()
-            except LogUnavailable as error:
-                maybe_applied = error.maybe_applied
+    async def _call_or_forward(
+        self, direct: Callable[[], Awaitable], call: LogCall, wait: float = 0.0
+    ):
+        if self.forwarding:
+            return await self._forward(call, maybe_applied=False)
+        started_at = self._clock.now()
+        try:
+            answer = await direct()
+        except LogUnavailable as error:
+            if not self._is_slow():
                 self._start_forwarding(error)
-        return await self._forward(call, maybe_applied)
+            elif error.maybe_applied:
+                self._metrics.count("log.slow")
+                raise
+            return await self._forward(call, error.maybe_applied)
+        if not wait:
+            self._answered_at = self._clock.now()
+            self._answer_s = self._answered_at - started_at
+        return answer
+
+    def _is_slow(self) -> bool:
+        """Returns whether the log answered recently, but slowly."""
+        age_s = self._clock.now() - self._answered_at
+        return self._answer_s > SLOW_ANSWER_S and age_s < SLOW_ANSWER_VALIDITY_S
 
     def _start_forwarding(self, error: LogUnavailable) -> None:
         if not self.forwarding:
--- a/tests/cell/test_forwardinglog.py
+++ b/tests/cell/test_forwardinglog.py
@@ -117,3 +117,62 @@
         curio.run(main)
         assert not log.forwarding
         assert direct.read_offsets == [500]
+
+
+class SlowingLog:
+    """A log that answers reads slowly and appends not in time.
+
+    Attributes:
+        clock: Clock that its calls advance.
+        answer_s: Duration of a read in seconds.
+        maybe_applied: Whether an append without an answer may take effect.
+    """
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.answer_s = 0.24
+        self.maybe_applied = True
+
+    async def read(self, topic, offset, wait=0.0):
+        """Answers slowly."""
+        self.clock.advance(self.answer_s)
+        return LogBatch([], 5, 5)
+
+    async def append(self, *args, **options):
+        """Does not answer in time, or refuses."""
+        self.clock.advance(0.8)
+        raise LogUnavailable("scripted", maybe_applied=self.maybe_applied)
+
+
+class TestSlowLog:
+    """Pattern: the log takes 60 times as long while many entry VMs append."""
+
+    def append_after_read(self, answer_s, maybe_applied):
+        """Appends after a read; returns whether calls are forwarded, and by whom."""
+        clock, peers = ManualClock(), ScriptedPeers(set())
+        direct = SlowingLog(clock)
+        direct.answer_s, direct.maybe_applied = answer_s, maybe_applied
+        log = ForwardingLog(direct, "a:1", clock, Journal("a"), Metrics())
+        log.set_forwarders(peers, lambda: ["b", "c"])
+
+        async def main():
+            await log.read(PROBE_TOPIC, 0)
+            try:
+                await log.append("keyed.t", [("k", b"v")])
+            except LogUnavailable as error:
+                assert error.maybe_applied
+
+        curio.run(main)
+        return log.forwarding, peers.called_seats
+
+    def test_unanswered_append_is_not_sent_again_through_others(self):
+        """Guards against more appends at a log that is slow because of appends."""
+        assert self.append_after_read(0.24, maybe_applied=True) == (False, [])
+
+    def test_unanswered_append_to_a_log_that_was_fast_is_forwarded(self):
+        """Guards against an entry VM that stays cut off from the log."""
+        assert self.append_after_read(0.01, maybe_applied=True) == (True, ["b"])
+
+    def test_refused_call_is_forwarded_alone(self):
+        """Guards against an owner that counts as cut off while the log is full."""
+        assert self.append_after_read(0.24, maybe_applied=False) == (False, ["b"])
