Hand a shard over although the successor reads the claim first

The successor may read the offered claim from the log before the owner does. Its heartbeat then showed the new epoch, and the owner released the shard as replaced, without handing its keys over; the successor waited for the promises to expire. Change: an owner keeps an offered shard while its offered epoch has no known holder; reading the claim starts the transfer, the end of its promises ends the wait.

--- a/arbutusladder/ownership.py
+++ b/arbutusladder/ownership.py
@@ -179,6 +179,7 @@
         attempts: Number of returns to `Phase.FOLLOW`; varies the backoff.
         abandoned_epoch: Highest epoch that this entry VM must not use any more.
         handover_epoch: Epoch for which a handover was received.
+        offered_epoch: Newest epoch that this entry VM claimed for a successor.
         in_flight_until: Time until which messages sent under an epoch that was
             relinquished early may still take effect.
     """
@@ -194,6 +195,7 @@
     attempts: int = 0
     abandoned_epoch: Epoch = Epoch(0)
     handover_epoch: Epoch = Epoch(0)
+    offered_epoch: Epoch = Epoch(0)
     in_flight_until: float = float("-inf")
 
 
@@ -539,10 +541,18 @@
         """Relinquishes the shard if it cannot be held; returns whether it is held."""
         if not tracked.validity.is_valid(now):
             self._relinquish(tracked, Reason.OWNERSHIP_EXPIRED, now)
-        elif self.epoch(tracked.id) > tracked.epoch:
+        elif self._is_replaced(tracked):
             self._relinquish(tracked, Reason.NOT_OWNER, now)
         return tracked.phase in HOLDING_PHASES
 
+    def _is_replaced(self, tracked: _TrackedShard) -> bool:
+        newest = self.claims.newest(tracked.id)
+        if newest.holder is None and newest.epoch == tracked.offered_epoch:
+            # The successor may read the claim from the log before this entry VM does,
+            # and show its epoch in a heartbeat. Reading it starts the transfer.
+            return False
+        return newest.epoch > tracked.epoch
+
     def _step_own(self, tracked: _TrackedShard, now: float) -> None:
         if self._try_start_transfer(tracked, now) or not self._check_still_held(
             tracked, now
@@ -554,6 +564,7 @@
             claim = ClaimRecord(
                 tracked.id, epoch, successor.seat, successor.incarnation, handover=True
             )
+            tracked.offered_epoch = epoch
             self._enter_phase(tracked, Phase.OFFER, now)
             self._emit(AppendClaim(claim))
 
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -225,6 +225,37 @@
         driver.exchange_heartbeats()
         assert driver.last_claims.released == [ClaimRef(SHARD, epoch)]
 
+    def test_successor_may_use_its_epoch_before_the_owner_reads_the_claim(self):
+        # The owner released the shard without handing its keys over, in 3 of 40 plays
+        # of the scenario "A planned stop hands over tasks, keys and task ends".
+        driver = Driver()
+        epoch = driver.become_owner()
+        driver.record_actions(driver.ownership.start_drain(driver.now))
+        driver.sequence += 1
+        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        assert not driver.actions_of_type(RelinquishShard)
+        driver.read_claim(epoch + 1, "b", 1, handover=True)
+        assert driver.actions_of_type(SendHandover)[0].successor == "b"
+        assert not driver.ownership.is_valid(SHARD, driver.now)
+
+    def test_owner_of_an_offered_shard_stops_without_the_claim_in_time(self):
+        driver = Driver()
+        epoch = driver.become_owner()
+        driver.record_actions(driver.ownership.start_drain(driver.now))
+        driver.sequence += 1
+        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        driver.answering_seats = ""
+        driver.run(3.0 + STEP_S)
+        assert driver.actions_of_type(RelinquishShard)
+        assert not driver.ownership.is_valid(SHARD, driver.now)
+
+    def test_owner_yields_to_an_epoch_that_it_did_not_offer(self):
+        driver = Driver()
+        epoch = driver.become_owner()
+        driver.sequence += 1
+        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        assert driver.actions_of_type(RelinquishShard)[0].reason is Reason.NOT_OWNER
+
     def test_unanswered_transfer_ends_without_release(self):
         driver = Driver()
         epoch = driver.become_owner()
