Date evidence of ownership from what the owner sent

Change: heartbeats are numbered, hellos name the newest one received; evidence counts from the time at which that heartbeat, append or claim was sent, suspensions included.

--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -74,6 +74,11 @@
         """The newest claim read; None before the first."""
         return self._view.claim
 
+    @property
+    def newest_heartbeat(self) -> OwnerBeat | None:
+        """The newest heartbeat of an owner; None before the first."""
+        return self._view.heartbeat
+
     async def load(self) -> None:
         """Reads the newest claim."""
         batch = await self._member.log.newest(OWNER_TOPIC)
@@ -142,8 +147,11 @@
             return
         claim = self._view.next_claim(self._member.listen)
         claim_age_s = now - self._view.changed_at
+        sent_at = self._clock.now_with_suspensions()
         if await self._append(claim):
-            self.owner = Owner(claim, claim_age_s, self._member, self._dependencies)
+            self.owner = Owner(
+                claim, claim_age_s, sent_at, self._member, self._dependencies
+            )
             self._owner_task = await curio.spawn(
                 self._run_owner, self.owner, daemon=True
             )
@@ -172,8 +180,9 @@
     async def _renew(self) -> None:
         owner = self.owner
         claim = self._renewed_claim(owner)
+        sent_at = self._clock.now_with_suspensions()
         if await self._append(claim):
-            owner.handle_claim_renewed(claim)
+            owner.handle_claim_renewed(claim, sent_at)
         else:
             await owner.end_ownership("another entry VM has claimed the cell")
 
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -40,6 +40,7 @@
         claim: Newest claim; None before the first.
         changed_at: Monotonic time in seconds at which the end last moved.
         malformed: Number of claims that could not be decoded.
+        heartbeat: Newest heartbeat of the owner.
         released_epoch: Epoch whose owner has announced its release.
         claim_delay_s: Seconds for which this entry VM lets others claim first.
     """
@@ -51,7 +52,7 @@
     released_epoch: int = 0
     claim_delay_s: float = 0.0
     malformed: int = 0
-    _heartbeat: OwnerBeat | None = None
+    heartbeat: OwnerBeat | None = None
     _heartbeat_at: float = 0.0
 
     def apply(self, records: list[KeyedRecord], end: int, now: float) -> None:
@@ -82,7 +83,7 @@
             heartbeat: The heartbeat.
             now: Monotonic time in seconds.
         """
-        self._heartbeat, self._heartbeat_at = heartbeat, now
+        self.heartbeat, self._heartbeat_at = heartbeat, now
         if heartbeat.released:
             self.released_epoch = heartbeat.epoch
 
@@ -111,7 +112,7 @@
         Then the owner has not renewed the claim since, although this entry VM may have
         read it for the first time much later.
         """
-        heartbeat, claim = self._heartbeat, self.claim
+        heartbeat, claim = self.heartbeat, self.claim
         return (
             heartbeat is not None
             and claim is not None
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -37,7 +37,7 @@
 from arbutusladder.cell.states import JobPhase, SubmissionOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
-from arbutusladder.ids import JobId, RequestId, SeatId, VmId
+from arbutusladder.ids import Epoch, JobId, RequestId, SeatId, VmId
 from arbutusladder.journal import Journal
 from arbutusladder.messages import (
     AdviceCall,
@@ -429,8 +429,15 @@
             )
 
     def _hello(self) -> MemberHello:
-        undersized = self._dependencies.settings.undersized
-        return MemberHello(self.vm, self.listen, self.table.unstored_ends(), undersized)
+        heartbeat = self.claims.newest_heartbeat
+        return MemberHello(
+            self.vm,
+            self.listen,
+            self.table.unstored_ends(),
+            self._dependencies.settings.undersized,
+            heartbeat.epoch if heartbeat else Epoch(0),
+            heartbeat.number if heartbeat else 0,
+        )
 
     async def update_members(self, members: list[MemberHello]) -> None:
         """Stores the list of members and connects to those that forward log calls."""
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -92,6 +92,7 @@
             the predecessor.
         claim_age_s: Seconds for which the predecessor had at least not renewed its
             claim, and so the list, when this owner claimed.
+        claimed_at: Time at which the claim was sent, see `OwnershipEvidence`.
         member: Entry VM that runs the owner.
         dependencies: Services and settings of the entry VM.
 
@@ -110,6 +111,7 @@
         self,
         claim: CellClaim,
         claim_age_s: float,
+        claimed_at: float,
         member: Member,
         dependencies: CellDependencies,
     ):
@@ -123,7 +125,7 @@
         now = self._clock.now()
         self.state = CellState(self._clock.wall_time() - now, member.table.task_need)
         self._placer = Placer(self.state)
-        self.evidence = OwnershipEvidence(dependencies.clock)
+        self.evidence = OwnershipEvidence(claim.epoch, dependencies.clock, claimed_at)
         self._is_confirmed = True
         self._claim = claim
         self._claim_age_s = claim_age_s
@@ -209,9 +211,14 @@
         self.state.list_silent_workers(silent, stored=False)
         return silent
 
-    def handle_claim_renewed(self, claim: CellClaim) -> None:
-        """Allows tasks on workers that the stored claim does not list as silent."""
-        self.evidence.confirm()
+    def handle_claim_renewed(self, claim: CellClaim, sent_at: float) -> None:
+        """Allows tasks on workers that the stored claim does not list as silent.
+
+        Args:
+            claim: The claim.
+            sent_at: Time at which it was sent, see `OwnershipEvidence`.
+        """
+        self.evidence.confirm(sent_at)
         self.state.list_silent_workers(claim.silent, stored=True)
 
     @property
@@ -243,7 +250,7 @@
 
     async def handle_hello(self, hello: MemberHello) -> None:
         """Registers the sender of a hello and answers with the list of members."""
-        self.evidence.confirm()
+        self.evidence.confirm_heartbeat(hello.heartbeat_epoch, hello.heartbeat_number)
         for state in hello.ended:
             self.state.apply_reported_end(state)
         seat = SeatId(hello.vm)
@@ -285,6 +292,7 @@
                     append_s=append_s if reaches_log else 0.0,
                     reaches_log=reaches_log,
                     claim_sequence=sequence,
+                    number=self.evidence.next_heartbeat(),
                 )
             )
             due_at = now + HEARTBEAT_INTERVAL_S
@@ -528,8 +536,10 @@
         jobs = [self.state.job_by_id.get(job_id) for job_id in changes.storing]
         return [(job.id, job.progress()) for job in jobs if job]
 
-    async def _on_progress_stored(self, offset: int, progress: ProgressBatch) -> None:
-        self.evidence.confirm()
+    async def _on_progress_stored(
+        self, offset: int, progress: ProgressBatch, sent_at: float
+    ) -> None:
+        self.evidence.confirm(sent_at)
         changes = self.state.changes
         states = [RelayedState(job_id, row.state) for job_id, row in progress]
         changed = changes.select_changed(states)
--- a/arbutusladder/cell/progresswriter.py
+++ b/arbutusladder/cell/progresswriter.py
@@ -37,7 +37,9 @@
         clock: Monotonic time.
         metrics: Counters.
         collect: Returns the progress of the jobs that changed since its last call.
-        on_stored: Called with the offset of the first record and the stored progress.
+        on_stored: Called with the offset of the first record, the stored progress and
+            the time of the first attempt, in monotonic seconds that also pass during
+            suspensions.
 
     Attributes:
         append_s: Duration of the last append in seconds.
@@ -50,7 +52,7 @@
         clock: Clock,
         metrics: Metrics,
         collect: Callable[[], ProgressBatch],
-        on_stored: Callable[[int, ProgressBatch], Awaitable[None]],
+        on_stored: Callable[[int, ProgressBatch, float], Awaitable[None]],
     ):
         self._log = log
         self._epoch = epoch
@@ -125,6 +127,8 @@
         items += progress_tombstones(deletions)
         position = WriterPosition(PRODUCER, self._epoch, next(self._sequence))
         started_at = self._append_started_at = self._clock.now()
+        # The log may answer a repeated append with the answer to the first attempt.
+        first_sent_at = self._clock.now_with_suspensions()
         while True:
             try:
                 offset = await self._log.append(
@@ -137,4 +141,4 @@
         self.append_s = self._clock.now() - started_at
         self._append_started_at = None
         self._metrics.timing("progress_append", self.append_s)
-        await self._on_stored(offset, progress)
+        await self._on_stored(offset, progress, first_sent_at)
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -631,6 +631,14 @@
     """
     Whether it has too few resources to help other entry VMs.
     """
+    heartbeat_epoch: Epoch = 0
+    """
+    Epoch of the newest heartbeat that it received from the owner; 0 without one.
+    """
+    heartbeat_number: int = 0
+    """
+    Number of that heartbeat.
+    """
 
 
 @dataclass
@@ -681,6 +689,10 @@
     """
     Sequence number of the newest renewal of the claim; -1 if unknown.
     """
+    number: int = 0
+    """
+    Number of the heartbeat, increasing within an epoch.
+    """
 
 
 @dataclass
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -29,6 +29,19 @@
         return OrderAnswer(self.outcomes.pop(0))
 
 
+class StubMember:
+    """Stands in for the entry VM of an owner; sends nothing."""
+
+    def __init__(self):
+        self.peers = self
+
+    def apply_relay(self, relay):
+        """Drops a relay of progress."""
+
+    async def send(self, seat, message):
+        """Drops a message."""
+
+
 class StubDependencies:
     """The dependencies that a start order uses."""
 
@@ -55,9 +68,10 @@
     owner._dependencies = StubDependencies(orders)
     owner._end_cause = curio.Result()
     owner._decisions_needed = curio.Event()
+    owner._member = StubMember()
     owner._last_hello_by_vm = members
     owner._is_confirmed = True
-    owner.evidence = OwnershipEvidence(clock)
+    owner.evidence = OwnershipEvidence(1, clock, clock.now_with_suspensions())
     owner.state = CellState(0.0, lambda task: None)
     entry = workloads.workers()[0]
     owner.state.update_registry({entry.vm: entry}, clock.now())
@@ -170,10 +184,46 @@
         assert self.send_start(owner)
         getattr(clock, pause)(EVIDENCE_VALIDITY_S + 0.1)
         assert not self.send_start(owner)
-        owner.evidence.confirm()
+        owner.evidence.confirm(clock.now_with_suspensions())
         assert self.send_start(owner)
         assert owner._dependencies.metrics.count_by_name["starts.not_sent"] == 1
 
+    @pytest.mark.parametrize("answer", ["hello", "progress", "claim"])
+    @pytest.mark.parametrize("pause", ["advance", "suspend"])
+    def test_answers_that_waited_during_a_pause_confirm_nothing(self, answer, pause):
+        """Guards against orders of a replaced owner that reads its sockets late.
+
+        Entry VMs and the log answered before the successor claimed the cell.
+        """
+        owner, clock = make_owner({"b": (0.0, None)}, ScriptedOrders())
+        handled_by_answer = {
+            "hello": lambda number, sent_at: owner.evidence.confirm_heartbeat(
+                owner.epoch, number
+            ),
+            "progress": lambda number, sent_at: curio.run(
+                owner._on_progress_stored, 0, [], sent_at
+            ),
+            "claim": lambda number, sent_at: owner.handle_claim_renewed(
+                CellClaim(1, "a", "a:1", 1), sent_at
+            ),
+        }
+        number = owner.evidence.next_heartbeat()
+        sent_at = clock.now_with_suspensions()
+        getattr(clock, pause)(EVIDENCE_VALIDITY_S + 0.1)
+        handled_by_answer[answer](number, sent_at)
+        assert not owner.may_give_orders()
+        number = owner.evidence.next_heartbeat()
+        handled_by_answer[answer](number, clock.now_with_suspensions())
+        assert owner.may_give_orders()
+
+    def test_heartbeat_of_an_earlier_epoch_confirms_nothing(self):
+        """Guards against an entry VM that still knows an earlier owner on this VM."""
+        owner, clock = make_owner({"b": (0.0, None)}, ScriptedOrders())
+        clock.advance(EVIDENCE_VALIDITY_S + 0.1)
+        number = owner.evidence.next_heartbeat()
+        owner.evidence.confirm_heartbeat(owner.epoch - 1, number)
+        assert not owner.may_give_orders()
+
     def test_single_entry_vm_needs_no_confirmation(self):
         """Guards against a cell of one entry VM that stops during a log outage."""
         owner, clock = make_owner({}, ScriptedOrders())
