Trace five tests that were known to fail now and then

Causes, each seen in kept logs: - Three scenarios (killed owner during a log outage, lost reply of a claim, paused entry VM with an old configuration) need an owner that is left for another shard. In each of the 7 failing plays one entry VM owned both shards, because it had started 0.4 s before the others; then shard_unowned and deadline_unreachable are right. They now start with different owners, and two new scenarios cover a cell without any owner and the wait for the requests of a killed one. - TestSuccessor: the requests of the new owner were never assigned to slots, as its task did not run (7 of 24 plays once requests started exactly, takeover within 1 ms of the end of the wait); and requests had 50 ms to start.

--- a/tests/features/configuration.feature
+++ b/tests/features/configuration.feature
@@ -21,6 +21,7 @@
 
   Scenario: A paused entry VM does not use an old configuration after it resumes
     Given a cell of 3 entry VMs with links that can be cut
+    And the shards have different owners
     When an entry VM is cut off from the log
     And an entry VM is paused
     And preset peak is chosen on another entry VM
--- a/tests/features/ownership.feature
+++ b/tests/features/ownership.feature
@@ -46,6 +46,7 @@
 
   Scenario: A shard whose owner is killed while the log is down waits for the log
     Given a cell of 3 entry VMs
+    And the shards have different owners
     When the log goes down
     And the owner of a shard is killed
     And 5 seconds pass
@@ -54,8 +55,25 @@
     When the log is up again
     Then every shard has a running owner within 10 seconds
 
+  Scenario: Requests for a cell without any owner are refused until the log is up again
+    Given a cell of 3 entry VMs and one shard
+    When the log goes down
+    And the owner of a shard is killed
+    And 5 seconds pass
+    Then requests are refused with shard_unowned during 1 seconds
+    When the log is up again
+    Then every shard has a running owner within 10 seconds
+    And requests are answered after refusals with deadline_unreachable of 5 s
+
+  Scenario: After the only owner was killed requests wait until its own have ended
+    Given a cell of 3 entry VMs and one shard
+    When the owner of a shard is killed
+    Then every shard has a running owner within 15 seconds
+    And requests are answered after refusals with deadline_unreachable of 5 s
+
   Scenario: A claim whose reply is lost is resolved by reading it back from the log
     Given a cell of 3 entry VMs
+    And the shards have different owners
     When the next 3 replies of the log are lost
     And the owner of a shard is killed
     Then every shard has a running owner within 15 seconds
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -7,6 +7,7 @@
 import threading
 import time
 import uuid
+from collections import Counter
 
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
@@ -24,6 +25,9 @@
 
 LEASE_S = 6.0
 SEND_TIMEOUT_S = 10.0
+PROMISE_DURATION_S = 3.0
+# Stops of entry VMs after which the owners of the shards must be as required.
+MAX_OWNER_CHANGES = 6
 
 
 class ScenarioContext:
@@ -110,6 +114,34 @@
     start_cell(context, entries=count, relayed=True)
 
 
+@given(parsers.parse("a cell of {count:d} entry VMs and one shard"))
+def _given_cell_with_one_shard(context, count):
+    start_cell(context, entries=count, domains=("fd-a",))
+
+
+@given("the shards have different owners")
+def _given_different_owners(context):
+    # Which entry VMs own the shards at first depends on the times at which they start.
+    # One that owns several hands them over to the preferred ones when it stops.
+    cell = context.cell
+    for _ in range(MAX_OWNER_CHANGES):
+        owner_by_shard = cell.fetch_owner_by_shard()
+        shards_by_owner = Counter(owner_by_shard.values())
+        owner, shard_count = shards_by_owner.most_common(1)[0]
+        if shard_count == 1:
+            return
+        cell.process_by_name[owner].terminate()
+        cell.process_by_name[owner].wait(SEND_TIMEOUT_S)
+        cell.start_entry(cell.seats.index(owner))
+        # A restarted seat grants no promises at first. Another stop meanwhile would
+        # leave the owners without a majority.
+        time.sleep(PROMISE_DURATION_S)
+        cell.wait_until_ready()
+        for seat in cell.seats:
+            cell.wait_until_owned(seat)
+    raise AssertionError(f"the owners of the shards are {owner_by_shard}")
+
+
 @given(parsers.parse("jobs of {count:d} short tasks wait on every shard"))
 def _given_waiting_short_tasks(context, count):
     shards = {
@@ -585,6 +617,37 @@
         time.sleep(0.1)
 
 
+@then(
+    parsers.parse("requests are refused with shard_unowned during {seconds:d} seconds")
+)
+def _check_requests_refused(context, seconds):
+    deadline = time.monotonic() + seconds
+    while time.monotonic() < deadline:
+        answer = context.cell.send_request("lookup", context.running_seat())
+        assert answer.status == 503, answer.body
+        assert answer.json()["outcome"] == "not_run"
+        assert answer.json()["reason"] == "shard_unowned"
+        time.sleep(0.1)
+
+
+@then(
+    parsers.parse("requests are answered after refusals with {reason} of {limit:d} s")
+)
+def _check_answered_after_refusals(context, reason, limit):
+    deadline = time.monotonic() + limit
+    answer = context.cell.send_request("lookup", context.running_seat())
+    if answer.status != 200:
+        assert (answer.status, answer.json()["outcome"]) == (503, "not_run")
+        assert answer.json()["reason"] == reason
+        assert 0 < answer.json()["retry_after_ms"] <= 1000 * limit
+    while answer.status != 200:
+        assert time.monotonic() < deadline, answer.body
+        # A request that got a slot just before its deadline may have run.
+        assert answer.status in {503, 504}, answer.body
+        time.sleep(0.1)
+        answer = context.cell.send_request("lookup", context.running_seat())
+
+
 @then("a durable job is refused with log_unavailable")
 def _check_durable_job_refused(context):
     answer = context.cell.submit_job("residual-batch", context.running_seat())
--- a/tests/test_shardrequests.py
+++ b/tests/test_shardrequests.py
@@ -8,6 +8,7 @@
 import curio
 import pytest
 
+from arbutusladder.admission import DEFAULT_URGENT_RESERVE
 from arbutusladder.clock import Clock
 from arbutusladder.endpoints import EndpointState
 from arbutusladder.fakeexecutor import FakeExecutor, Faults
@@ -52,6 +53,7 @@
         self.limits = limits or Limits()
         self.shard = self.new_shard()
         self.sequence = 0
+        self.tasks = []
 
     def new_shard(self):
         shard = ShardRequests(
@@ -65,6 +67,11 @@
         shard.set_endpoints([vm_record(executor) for executor in self.executors])
         return shard
 
+    async def replace_shard(self):
+        """Continues with a new owner of the shard; the previous one runs on."""
+        self.shard = self.new_shard()
+        self.tasks.append(await curio.spawn(self.shard.run))
+
     def request(self, path="/", body=b"", key="", remaining_ms=2000, **options):
         self.sequence += 1
         headers = [Header("Idempotency-Key", key)] if key else []
@@ -98,9 +105,18 @@
         self.executors[number].set_faults(Faults(**faults))
 
     async def start_requests(self, count, *args, **options):
-        """Starts requests that run while the test continues."""
+        """Starts requests that run while the test continues.
+
+        Returns after as many of them run as the executors have slots for them.
+        """
+        slots = sum(vm_record(executor).slots for executor in self.executors)
+        if options.get("urgency") is not Urgency.URGENT:
+            slots -= int(slots * DEFAULT_URGENT_RESERVE)
+        expected = len(self.recorded_runs()) + min(count, slots)
         task = await curio.spawn(self.send_concurrently(count, *args, **options))
-        await curio.sleep(0.05)
+        async with curio.timeout_after(START_TIMEOUT_S):
+            while len(self.recorded_runs()) < expected:
+                await curio.sleep(0.005)
         return task
 
     def recorded_runs(self, request_id=None):
@@ -120,12 +136,13 @@
     def decorate(test):
         async def main(self):
             harness = RequestHarness(**options)
-            tasks = [await curio.spawn(executor.run) for executor in harness.executors]
-            tasks.append(await curio.spawn(harness.shard.run))
+            for executor in harness.executors:
+                harness.tasks.append(await curio.spawn(executor.run))
+            harness.tasks.append(await curio.spawn(harness.shard.run))
             try:
                 await test(self, harness)
             finally:
-                for task in tasks:
+                for task in harness.tasks:
                     await task.cancel()
 
         def run(self):
@@ -144,6 +161,8 @@
     return [f"body {number}".encode() for number in range(count)]
 
 
+# Seconds within which requests must have started.
+START_TIMEOUT_S = 5.0
 URGENT = {"urgency": Urgency.URGENT}
 DONE = {Outcome.DONE}
 
@@ -404,13 +423,13 @@
         await curio.sleep(0.05)
         await harness.shard.export_handover()
         assert_not_run(harness, await task.join(), "not_owner")
-        harness.shard = harness.new_shard()
+        await harness.replace_shard()
         task = await curio.spawn(harness.send)
         await curio.sleep(0)
         await harness.shard.export_handover()
         assert harness.shard.open_requests == 1
         assert_not_run(harness, await task.join(), "ownership_expired")
-        harness.shard = harness.new_shard()
+        await harness.replace_shard()
         await harness.shard.stop()
         assert_not_run(harness, await harness.send(), "draining")
 
@@ -503,7 +522,7 @@
     async def test_takeover_waits_for_requests_of_the_previous_owner(self, harness):
         key = harness.new_key()
         await harness.start_requests(8, "/?work_ms=300", **URGENT)
-        harness.shard = harness.new_shard()
+        await harness.replace_shard()
         harness.shard.start_without_handover(harness.clock.now())
         early_answer = await harness.send(remaining_ms=200)
         assert (
@@ -525,7 +544,7 @@
         await harness.send(key=key, body=b"once")
         task = await harness.start_requests(6, "/?work_ms=300", **URGENT)
         state = await harness.shard.export_handover()
-        harness.shard = harness.new_shard()
+        await harness.replace_shard()
         harness.shard.adopt_handover(state)
         assert harness.shard.summary().free_slots_by_service == {"tarief": 2}
         repeated_answer = await harness.send(key=key, body=b"once")
@@ -632,7 +651,8 @@
                 [vm_record(executor) for executor in harness.executors]
             )
         if step == 30:
-            previous, harness.shard = harness.shard, harness.new_shard()
+            previous = harness.shard
+            await harness.replace_shard()
             if generator.random() < 0.5:
                 harness.shard.adopt_handover(await previous.export_handover())
             else:
