--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -27,7 +27,8 @@
 # Duration of an append in seconds from which the log counts as slow; the log takes 4 ms
 # for one, and the way to it up to 10 ms.
 SLOW_APPEND_S = 0.15
-# The same for appends of the owner, which never has a slow link.
+# The same for appends of the owner, which has a fast link in most cells. The delays of
+# its own process are subtracted before.
 OWNER_SLOW_APPEND_S = 0.08
 # Seconds between checks whether an append in flight has become slow.
 CHECK_INTERVAL_S = 0.03
--- a/arbutusladder/cell/memberregistry.py
+++ b/arbutusladder/cell/memberregistry.py
@@ -17,6 +17,8 @@
 
 @dataclass(frozen=True)
 class _Member:
+    """An entry VM and the monotonic time of its newest hello in seconds."""
+
     entry: EntryVm
     hello_at: float
 
@@ -27,7 +29,6 @@
     Args:
         own_entry: The owner's entry VM, which every list contains.
         epoch: Epoch of the owner.
-
     """
 
     def __init__(self, own_entry: EntryVm, epoch: Epoch):
@@ -38,6 +39,7 @@
         self._member_by_vm: dict[VmId, _Member] = {}
 
     def __bool__(self) -> bool:
+        """Returns whether any entry VM has announced itself."""
         return bool(self._member_by_vm)
 
     @property
