--- a/arbutusladder/cell/advicedispatcher.py
+++ b/arbutusladder/cell/advicedispatcher.py
@@ -14,14 +14,13 @@
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import LONG_CALL_THRESHOLD_S, AdviceCapacity
 from arbutusladder.cell.interfaces import AdviceOrder, Advisor
+from arbutusladder.cell.memberregistry import MEMBER_TIMEOUT_S
 from arbutusladder.clock import Clock
 from arbutusladder.ids import Epoch, RequestId, SeatId, VmId
 from arbutusladder.journal import Journal
 from arbutusladder.messages import AdviceCall, AdviceReply
 from arbutusladder.peers import PeerTransport
 
-# Seconds after its last hello for which an entry VM counts as active.
-MEMBER_TIMEOUT_S = 1.6
 # Largest share of the entry VMs that may make long calls at the same time.
 MAX_LONG_CALL_SHARE = 0.7
 # Seconds beyond a call's expected duration after which it times out.
--- a/arbutusladder/cell/memberregistry.py
+++ b/arbutusladder/cell/memberregistry.py
@@ -10,9 +10,9 @@
 from arbutusladder.ids import Epoch, VmId
 from arbutusladder.messages import EntryVm, MemberHello, MemberList
 
-# Seconds without a hello after which an entry VM is no longer in the list; a hello is
-# sent every 0.5 s.
-LISTED_PERIOD_S = 1.6
+# Seconds after its last hello for which an entry VM counts as active; hellos are 0.5 s
+# apart.
+MEMBER_TIMEOUT_S = 1.6
 
 
 @dataclass(frozen=True)
@@ -62,7 +62,7 @@
         Args:
             now: Monotonic time in seconds.
         """
-        oldest = now - LISTED_PERIOD_S
+        oldest = now - MEMBER_TIMEOUT_S
         listed_by_vm = {
             vm: member.entry
             for vm, member in self._member_by_vm.items()
--- a/tests/cell/test_memberregistry.py
+++ b/tests/cell/test_memberregistry.py
@@ -1,6 +1,6 @@
 """Tests of the list of entry VMs that the owner distributes."""
 
-from arbutusladder.cell.memberregistry import LISTED_PERIOD_S, MemberRegistry
+from arbutusladder.cell.memberregistry import MEMBER_TIMEOUT_S, MemberRegistry
 from arbutusladder.messages import EntryVm, MemberHello
 
 OWN_ENTRY = EntryVm("owner", "a:1")
@@ -61,7 +61,7 @@
         cell, (first, second) = Cell(), entry_vms(2)
         cell.say_hello(first, 0.0)
         cell.say_hello(second, 0.0)
-        now = LISTED_PERIOD_S + HELLO_INTERVAL_S
+        now = MEMBER_TIMEOUT_S + HELLO_INTERVAL_S
         cell.registry.add(first, now)
         assert cell.registry.refresh(now)
         cell.say_hello(first, now)
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -73,6 +73,11 @@
         if self.membership.record_heartbeat(heartbeat, self.now):
             self.record_actions(self.ownership.handle_heartbeat(heartbeat, self.now))
 
+    def show_epoch(self, seat, epoch):
+        """Receives a heartbeat of a seat that requests promises under an epoch."""
+        self.sequence += 1
+        self.receive_heartbeat(seat, claims=[ClaimRef(SHARD, epoch)])
+
     def read_claim(self, *claim, **options):
         record = ClaimRecord(SHARD, *claim, **options)
         self.record_actions(self.ownership.handle_claim(record, self.now))
@@ -231,8 +236,7 @@
         driver = Driver()
         epoch = driver.become_owner()
         driver.record_actions(driver.ownership.start_drain(driver.now))
-        driver.sequence += 1
-        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        driver.show_epoch("b", epoch + 1)
         assert not driver.actions_of_type(RelinquishShard)
         driver.read_claim(epoch + 1, "b", 1, handover=True)
         assert driver.actions_of_type(SendHandover)[0].successor == "b"
@@ -242,8 +246,7 @@
         driver = Driver()
         epoch = driver.become_owner()
         driver.record_actions(driver.ownership.start_drain(driver.now))
-        driver.sequence += 1
-        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        driver.show_epoch("b", epoch + 1)
         driver.answering_seats = ""
         driver.run(3.0 + STEP_S)
         assert driver.actions_of_type(RelinquishShard)
@@ -252,8 +255,7 @@
     def test_owner_yields_to_an_epoch_that_it_did_not_offer(self):
         driver = Driver()
         epoch = driver.become_owner()
-        driver.sequence += 1
-        driver.receive_heartbeat("b", claims=[ClaimRef(SHARD, epoch + 1)])
+        driver.show_epoch("b", epoch + 1)
         assert driver.actions_of_type(RelinquishShard)[0].reason is Reason.NOT_OWNER
 
     def test_unanswered_transfer_ends_without_release(self):
