Use PauseDetector and is_blocked instead of their copies

ShardRequests computed by itself whether its sleep ended late, as PauseDetector does; _stop_partial_gangs repeated is_blocked. The decisions are the same, but for a sleep that is late by exactly the threshold, which counts as a pause as it does elsewhere.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -533,7 +533,7 @@
     def _stop_partial_gangs(self) -> None:
         """Stops inherited gangs of which only some members run after a takeover."""
         for job in self.job_by_id.values():
-            if not job.inherited or self.unreported.may_run(job.id):
+            if not job.inherited or self.is_blocked(job):
                 continue
             for stage in job.stage_by_key.values():
                 partial = 0 < len(stage.active_runs) < len(stage.tasks)
--- a/arbutusladder/shardrequests.py
+++ b/arbutusladder/shardrequests.py
@@ -11,7 +11,7 @@
 
 from arbutusladder import events
 from arbutusladder.admission import AdmissionController, Ticket
-from arbutusladder.clock import TIMER_PAUSE_THRESHOLD_S, Clock
+from arbutusladder.clock import TIMER_PAUSE_THRESHOLD_S, Clock, PauseDetector
 from arbutusladder.connections import IDLE_TIMEOUT_S
 from arbutusladder.declarations import Preset
 from arbutusladder.endpointlimits import Slot
@@ -161,7 +161,7 @@
         self._pending_by_key: dict[str, _PendingRequest] = {}
         self._stopping = False
         self._handed_over = False
-        self._round_due_at: float | None = None
+        self._sleep_detector: PauseDetector | None = None
         self._pause_ended_at = float("-inf")
 
     # Interface for the entry VM
@@ -174,11 +174,13 @@
             interval_s = (
                 ROUND_INTERVAL_S if self._admission.waiting else IDLE_ROUND_INTERVAL_S
             )
-            self._round_due_at = self._clock.now() + interval_s
+            self._sleep_detector = PauseDetector(
+                interval_s, TIMER_PAUSE_THRESHOLD_S, self._clock.now()
+            )
             await curio.sleep(interval_s)
             if self._is_paused():
                 self._pause_ended_at = self._clock.now()
-            self._round_due_at = None
+            self._sleep_detector = None
 
     async def handle(self, request: ForwardRequest) -> ForwardAnswer:
         """Runs one request and returns its answer.
@@ -442,9 +444,8 @@
 
     def _is_paused(self) -> bool:
         """Returns whether this process was paused and is late for its next round."""
-        if self._round_due_at is None:
-            return False
-        return self._clock.now() - self._round_due_at > TIMER_PAUSE_THRESHOLD_S
+        detector = self._sleep_detector
+        return detector is not None and detector.is_late(self._clock.now())
 
     def _was_paused_since(self, result: AttemptResult) -> bool:
         """Returns whether this process was paused during an attempt."""
