Run tests of one kernel in virtual time; repeat unanswered appends at once

The owner's append joins a long queue at the log, ends without an answer after 1.3 to 1.8 s, and then the owner waited up to 0.5 s more before it appended again, with the items of all entry VMs waiting.

Connections to an IP address are opened without curio's name resolution, which starts a thread for each.

--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -39,8 +39,8 @@
 OWNER_BACKOFF_S = 1.0
 # Seconds of a deadline that are left for the messages to the owner and back.
 FORWARDING_MARGIN_S = 0.1
-# Bounds of the seconds before a failed append is repeated, which are the duration of
-# the newest append: a slow log refuses appends while too many wait.
+# Bounds of the seconds before a failed append is repeated. They are the duration of the
+# newest append after a refusal: a slow log refuses appends while too many wait.
 MIN_RETRY_DELAY_S = 0.06
 MAX_RETRY_DELAY_S = 0.5
 # Refused appends of an item after which it is reported as not stored, also before its
@@ -381,7 +381,9 @@
                 await _set_outcome(pending_item, SubmissionOutcome.NOT_STORED)
         self._pending[:0] = retried
         await self._items_pending.set()
-        await curio.sleep(min(MAX_RETRY_DELAY_S, max(MIN_RETRY_DELAY_S, self.append_s)))
+        # The wait for an answer has already given the log time.
+        delay_s = 0.0 if maybe_applied else min(MAX_RETRY_DELAY_S, self.append_s)
+        await curio.sleep(max(MIN_RETRY_DELAY_S, delay_s))
 
 
 async def _set_outcome(item: _PendingItem, outcome: SubmissionOutcome) -> None:
--- a/arbutusladder/httpclient.py
+++ b/arbutusladder/httpclient.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client on curio and h11; one request at a time per connection."""
 
+import ipaddress
 import select
 import struct
 import time
@@ -21,6 +22,7 @@
 # SO_LINGER with a timeout of zero: close discards unsent bytes and resets the
 # connection.
 ABORT_LINGER = struct.pack("ii", 1, 0)
+_FAMILY_BY_IP_VERSION = {4: socket.AF_INET, 6: socket.AF_INET6}
 
 
 @dataclass
@@ -270,8 +272,20 @@
 
 
 async def _open(address: str, timeout: float) -> "socket.socket":
+    host, port = split_address(address)
     async with curio.timeout_after(timeout):
-        return await curio.open_connection(*split_address(address))
+        try:
+            family = _FAMILY_BY_IP_VERSION[ipaddress.ip_address(host).version]
+        except ValueError:
+            return await curio.open_connection(host, port)
+        # Without name resolution, for which curio starts a thread.
+        sock = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            await sock.connect((host, port))
+        except BaseException:
+            await sock.close()
+            raise
+        return sock
 
 
 def _require_length(method: str, head: h11.Response) -> None:
--- a/tests/cell/test_advicedispatcher.py
+++ b/tests/cell/test_advicedispatcher.py
@@ -7,6 +7,7 @@
 from arbutusladder.clock import ManualClock
 from arbutusladder.journal import Journal
 from arbutusladder.messages import AdviceReply
+from tests.virtualtime import run_in_virtual_time
 
 SHORT_S, LONG_S = 0.02, 1.0
 
@@ -69,21 +70,21 @@
     def test_short_calls_use_the_entry_vm_with_the_lowest_overhead(self):
         """Guards against urgent quotes delayed by an entry VM behind a slow link."""
         entry_vms = FakeEntryVms({"a": 0.2, "b": 0.01, "own": 0.1})
-        curio.run(entry_vms.start_calls, SHORT_S, 12)
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S, 12)
         assert set(entry_vms.called[3:]) == {"b"}
 
     def test_long_calls_use_the_entry_vm_with_the_highest_overhead(self):
         """Guards against long calls that occupy the entry VMs with low overhead."""
         entry_vms = FakeEntryVms({"a": 0.2, "b": 0.01, "own": 0.1})
-        curio.run(entry_vms.start_calls, SHORT_S, 12)
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S, 12)
         entry_vms.called.clear()
-        curio.run(entry_vms.start_calls, LONG_S, 3)
+        run_in_virtual_time(entry_vms.start_calls, LONG_S, 3)
         assert set(entry_vms.called) == {"a"}
 
     def test_entry_vm_without_an_answer_gets_no_calls_for_a_while(self):
         """Guards against losing every other call to a silent entry VM."""
         entry_vms = FakeEntryVms({"a": None, "own": 0.1})
-        curio.run(entry_vms.start_calls, SHORT_S, 8)
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S, 8)
         assert entry_vms.called.count("a") == 1
         assert entry_vms.answered.count(False) == 1
         entry_vms.clock.advance(FAILURE_BACKOFF_S)
@@ -92,7 +93,7 @@
     def test_call_without_an_idle_entry_vm_is_rejected_at_once(self):
         """Guards against a step that waits indefinitely for advice."""
         entry_vms = FakeEntryVms({"own": None})
-        curio.run(entry_vms.start_calls, SHORT_S, 1)
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S, 1)
         entry_vms.dispatcher.close()
-        curio.run(entry_vms.start_calls, SHORT_S, 1)
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S, 1)
         assert entry_vms.answered == [False, False]
--- a/tests/cell/test_appender.py
+++ b/tests/cell/test_appender.py
@@ -1,5 +1,7 @@
 """Tests storing jobs while the log refuses appends or does not answer."""
 
+import bisect
+import itertools
 import time
 
 import curio
@@ -12,9 +14,11 @@
     JobAppender,
     OwnerStoreReply,
 )
+from arbutusladder.cell.member import JOBS_POLL_INTERVAL_S
 from arbutusladder.cell.states import SubmissionOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
+from tests.virtualtime import run_in_virtual_time
 
 
 class ScriptedLog:
@@ -90,7 +94,7 @@
         await task.cancel()
         return outcome, peers.in_doubt_keys
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 class TestStore:
@@ -146,6 +150,7 @@
         self.stored_keys = []
         self.appends = 0
         self._free_at = 0.0
+        self._stored_at = []
 
     async def append(self, topic, items, timeout=1.0):
         """Appends once the earlier appends are done, also if the caller gives up."""
@@ -156,11 +161,18 @@
         self._free_at = max(now, self._free_at) + self.append_s
         offset = len(self.stored_keys)
         self.stored_keys += [key for key, _ in items]
+        self._stored_at += [self._free_at] * len(items)
         async with curio.ignore_after(timeout):
             await curio.sleep(self._free_at + self.answer_s - now)
             return offset
         raise LogUnavailable("no answer", maybe_applied=True)
 
+    async def read(self):
+        """Returns the stored keys."""
+        count = bisect.bisect(self._stored_at, time.monotonic())
+        await curio.sleep(self.answer_s)
+        return self.stored_keys[:count]
+
 
 class CellPeers(SinglePeers):
     """An entry VM of a cell with an owner.
@@ -199,7 +211,7 @@
         return OwnerStoreReply(outcomes, self._owner.append_s)
 
 
-def store_from_many(log, entry_vms, waits_s, interval_s):
+def store_from_many(log, entry_vms, waits_s, interval_s, pause=(0.0, 0.0)):
     """Stores items at many entry VMs in turn; returns outcomes and their durations.
 
     Args:
@@ -207,8 +219,19 @@
         entry_vms: Number of entry VMs, of which the first is the owner.
         waits_s: Seconds until the deadline of each item.
         interval_s: Seconds between two items.
+        pause: Start and duration in seconds of a pause of all entry VMs.
     """
 
+    async def follow_log(appender):
+        while True:
+            await curio.sleep(JOBS_POLL_INTERVAL_S)
+            await appender.confirm(await log.read())
+
+    async def pause_all():
+        start_s, duration_s = pause
+        await curio.sleep(start_s)
+        time.sleep(duration_s)
+
     async def store_one(appender, key, wait_s):
         started_at = time.monotonic()
         outcome = await appender.store((key, b"v"), started_at + wait_s)
@@ -230,7 +253,9 @@
         for appender in appenders:
             await curio.spawn(appender.run, daemon=True)
             await curio.spawn(appender.run_passing, daemon=True)
+            await curio.spawn(follow_log, appender, daemon=True)
         await curio.spawn(send_heartbeats, owner, appenders[1:], daemon=True)
+        await curio.spawn(pause_all, daemon=True)
         tasks = []
         for number, wait_s in enumerate(waits_s):
             appender = appenders[number % entry_vms]
@@ -239,20 +264,24 @@
             await curio.sleep(interval_s)
         return [await task.join() for task in tasks]
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 class TestSlowLog:
     """Pattern: the log takes 60 times as long while many entry VMs append."""
 
     @pytest.mark.parametrize("entry_vms", [7, 29])
-    def test_items_are_stored_before_their_deadline(self, entry_vms):
+    @pytest.mark.parametrize(
+        "pause", [(0.0, 0.0), *itertools.product((0.3, 1.0, 2.0), (0.2, 0.4, 0.8))]
+    )
+    def test_items_are_stored_before_their_deadline(self, entry_vms, pause):
         """Guards against appends of many entry VMs that wait for each other.
 
-        Clients wait 3 s, of which 0.25 s are left for the answer.
+        Clients wait 3 s, of which 0.25 s are left for the answer. With a pause of the
+        processes, the owner also appends to a log at which many appends wait already.
         """
         log = SlowLog()
-        results = store_from_many(log, entry_vms, [2.75] * 160, 0.025)
+        results = store_from_many(log, entry_vms, [2.75] * 160, 0.025, pause)
         outcomes = [outcome for outcome, _ in results]
         accepted = outcomes.count(SubmissionOutcome.ACCEPTED)
         assert accepted >= 0.98 * len(outcomes)
@@ -282,7 +311,7 @@
             outcomes = [await task.join() for task in tasks]
             return outcomes, appender._log.appended
 
-        outcomes, appended = curio.run(main)
+        outcomes, appended = run_in_virtual_time(main)
         assert outcomes == [SubmissionOutcome.UNKNOWN, SubmissionOutcome.ACCEPTED]
         assert appended == []
 
@@ -307,7 +336,7 @@
             await task.cancel()
             return outcome, time.monotonic() - started_at
 
-        outcome, seconds = curio.run(main)
+        outcome, seconds = run_in_virtual_time(main)
         assert outcome is SubmissionOutcome.ACCEPTED
         assert seconds < 0.5
 
@@ -336,4 +365,4 @@
             await task.cancel()
             return appender.in_outage(clock.now())
 
-        assert not curio.run(main)
+        assert not run_in_virtual_time(main)
--- a/tests/cell/test_forwardinglog.py
+++ b/tests/cell/test_forwardinglog.py
@@ -14,6 +14,7 @@
 from arbutusladder.journal import Journal
 from arbutusladder.messages import LogReply
 from arbutusladder.metrics import Metrics
+from tests.virtualtime import run_in_virtual_time
 
 
 class UnreachableLog:
@@ -53,7 +54,7 @@
     def append(self, log, clock):
         """Appends once, a second later."""
         clock.advance(1.0)
-        return curio.run(log.append, "keyed.t", [("k", b"v")])
+        return run_in_virtual_time(log.append, "keyed.t", [("k", b"v")])
 
     def test_silent_forwarder_is_tried_only_once(self):
         """Guards against appends that each time out on the same silent entry VM."""
@@ -114,7 +115,7 @@
             await curio.sleep(2.5 * PROBE_INTERVAL_S)
             await task.cancel()
 
-        curio.run(main)
+        run_in_virtual_time(main)
         assert not log.forwarding
         assert direct.read_offsets == [500]
 
@@ -162,7 +163,7 @@
             except LogUnavailable as error:
                 assert error.maybe_applied
 
-        curio.run(main)
+        run_in_virtual_time(main)
         return log.forwarding, peers.called_seats
 
     def test_unanswered_append_is_not_sent_again_through_others(self):
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -19,6 +19,7 @@
 from arbutusladder.messages import CellClaim, EntryVm, JobProgress, SilentWorker
 from arbutusladder.metrics import Metrics
 from tests.cell import workloads
+from tests.virtualtime import run_in_virtual_time
 
 # Seconds within which a worker gets an order, or its sender gives it up.
 ORDER_DELIVERY_S = 0.8
@@ -62,7 +63,7 @@
     owner, _ = make_owner([], ScriptedOrders(*outcomes))
     entry = workloads.workers()[0]
     order = StartOrder(entry.vm, "task", 1, "payload")
-    return curio.run(owner._start_with_retry, entry, order, 10.0).outcome
+    return run_in_virtual_time(owner._start_with_retry, entry, order, 10.0).outcome
 
 
 def make_owner(members, orders):
@@ -131,7 +132,7 @@
             await owner.end_ownership("released")
             return await owner._start_with_retry(entry, order, 10.0)
 
-        assert curio.run(release_then_start).outcome is OrderOutcome.UNKNOWN
+        assert run_in_virtual_time(release_then_start).outcome is OrderOutcome.UNKNOWN
         assert orders.outcomes == [OrderOutcome.ACCEPTED]
 
 
@@ -146,7 +147,7 @@
         owner = Owner.__new__(Owner)
         owner._taken_over_at = None
         owner._track_job = None  # Must not be called.
-        curio.run(owner.handle_job_changes, [workloads.job_id(1)])
+        run_in_virtual_time(owner.handle_job_changes, [workloads.job_id(1)])
 
     @pytest.mark.parametrize("unread", [True, False])
     def test_job_read_after_a_takeover_is_inherited_before_workers_report(self, unread):
@@ -164,9 +165,9 @@
         if unread:
             owner.state.unreported.add("w-001", clock.now() + 9.0)
         clock.advance(1.0)
-        curio.run(owner.handle_job_changes, [workloads.job_id(1)])
+        run_in_virtual_time(owner.handle_job_changes, [workloads.job_id(1)])
         clock.advance(5.0)
-        curio.run(owner.handle_job_changes, [workloads.job_id(2)])
+        run_in_virtual_time(owner.handle_job_changes, [workloads.job_id(2)])
         assert inherited_flags == [unread, False]
 
 
@@ -177,7 +178,7 @@
         """Sends a start order; returns whether a worker got it."""
         left = len(owner._dependencies.orders.outcomes)
         order = StartOrder(workloads.workers()[0].vm, "task", 1, "payload")
-        curio.run(owner._send_start, order)
+        run_in_virtual_time(owner._send_start, order)
         return len(owner._dependencies.orders.outcomes) < left
 
     @pytest.mark.parametrize("pause", ["advance", "suspend"])
@@ -208,7 +209,7 @@
             "hello": lambda number, sent_at: owner.evidence.confirm_heartbeat(
                 owner.epoch, number
             ),
-            "progress": lambda number, sent_at: curio.run(
+            "progress": lambda number, sent_at: run_in_virtual_time(
                 owner._on_progress_stored, 0, [], sent_at
             ),
             "claim": lambda number, sent_at: owner.handle_claim_renewed(
@@ -274,13 +275,17 @@
         """
         owner, _ = make_owner([], ScriptedOrders())
         owner._clock = clock = Clock()
-        started_at = clock.now()
-        owner.writer = SlowingLog(started_at + slow_from_s)
-        owner._member.appender = owner.writer
         owner._max_heartbeat_delay_s = owner._timer_delay_s = 0.0
-        due_at = started_at + HEARTBEAT_INTERVAL_S
-        curio.run(owner._wait_for_next_heartbeat, due_at, reported_s)
-        return clock.now() - started_at
+
+        async def main():
+            started_at = clock.now()
+            owner.writer = SlowingLog(started_at + slow_from_s)
+            owner._member.appender = owner.writer
+            due_at = started_at + HEARTBEAT_INTERVAL_S
+            await owner._wait_for_next_heartbeat(due_at, reported_s)
+            return clock.now() - started_at
+
+        return run_in_virtual_time(main)
 
     def test_entry_vms_are_told_before_the_next_regular_heartbeat(self):
         """Guards against appends of all entry VMs that wait for each other.
--- a/tests/cell/test_sharedread.py
+++ b/tests/cell/test_sharedread.py
@@ -5,6 +5,7 @@
 
 from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.errors import LogUnavailable
+from tests.virtualtime import run_in_virtual_time
 
 READ_S = 0.05
 
@@ -54,7 +55,7 @@
                     errors.append(error.__cause__)
             return errors
 
-        return curio.run(main)
+        return run_in_virtual_time(main)
 
     def test_concurrent_lookups_share_reads(self):
         """Guards against transferring the same records once for each lookup."""
@@ -74,7 +75,7 @@
             await shared.run()
             await first.join()
 
-        curio.run(main)
+        run_in_virtual_time(main)
         assert reader.begun == 2
 
     def test_failure_ends_all_calls_that_wait_for_the_read(self):
@@ -98,5 +99,5 @@
             reader.failing = False
             await shared.run()
 
-        curio.run(main)
+        run_in_virtual_time(main)
         assert reader.begun == 2
--- a/tests/shardharness.py
+++ b/tests/shardharness.py
@@ -31,6 +31,7 @@
 from arbutusladder.settings import Timing
 from arbutusladder.shardjobs import ShardJobs
 from arbutusladder.states import Outcome, Urgency, VmKind, VmState
+from tests.virtualtime import run_in_virtual_time
 
 # Short leases keep the tests short. The times have the same order as the defaults.
 TIMING = Timing(task_lease_s=1.2, clock_skew_s=0.1, worker_exchange_s=0.3)
@@ -112,7 +113,9 @@
 
 
 class WorkerCluster:
-    """Fake workers, which run in a thread of their own, and a fake log.
+    """Fake workers and a fake log.
+
+    Its workers run in a thread of their own if it is used as a context manager.
 
     Attributes:
         owner_valid_until: Monotonic end of the validity of crashed owners in seconds.
@@ -135,7 +138,7 @@
         self._done = curio.UniversalEvent()
 
     def __enter__(self):
-        self._thread = threading.Thread(target=curio.run, args=[self._serve])
+        self._thread = threading.Thread(target=curio.run, args=[self._serve_until_done])
         self._thread.start()
         self._ready.wait()
         return self
@@ -144,12 +147,17 @@
         self._done.set()
         self._thread.join()
 
-    async def _serve(self):
-        tasks = [await curio.spawn(server.run, daemon=True) for server in self.servers]
+    async def serve(self):
+        """Runs the workers until cancelled."""
+        async with curio.TaskGroup() as group:
+            for server in self.servers:
+                await group.spawn(server.run)
+
+    async def _serve_until_done(self):
+        serve_task = await curio.spawn(self.serve)
         self._ready.set()
         await self._done.wait()
-        for task in tasks:
-            await task.cancel()
+        await serve_task.cancel()
 
     async def start_owner(
         self, active_jobs=(), ended_tasks=(), policy="firstfit", **rebuild
@@ -237,6 +245,30 @@
 
 
 def run_with_cluster(scenario, **options):
-    """Runs a coroutine function with a worker cluster and returns its result."""
+    """Runs a coroutine function with a worker cluster in virtual time.
+
+    Returns:
+        The result of the coroutine function.
+    """
+
+    async def main():
+        cluster = WorkerCluster(**options)
+        serve_task = await curio.spawn(cluster.serve)
+        try:
+            return await scenario(cluster)
+        finally:
+            await serve_task.cancel()
+
+    return run_in_virtual_time(main)
+
+
+def run_with_cluster_thread(scenario, **options):
+    """Runs a coroutine function with a worker cluster in a thread of its own.
+
+    For a scenario that blocks its kernel or measures its processor time.
+
+    Returns:
+        The result of the coroutine function.
+    """
     with WorkerCluster(**options) as cluster:
         return curio.run(scenario, cluster)
--- a/tests/test_backgroundtasks.py
+++ b/tests/test_backgroundtasks.py
@@ -8,6 +8,7 @@
 from arbutusladder import journal
 from arbutusladder.backgroundtasks import spawn_logged
 from arbutusladder.events import BACKGROUND_TASK_FAILED
+from tests.virtualtime import run_in_virtual_time
 
 
 class FakeJournal:
@@ -34,7 +35,7 @@
             await spawn_logged(fake_journal, "claim of s1", fail, "lost")
             await curio.sleep(0.01)
 
-        curio.run(scenario)
+        run_in_virtual_time(scenario)
         [(event, fields)] = fake_journal.events
         assert (event, fields["task"]) == (BACKGROUND_TASK_FAILED, "claim of s1")
         assert "in fail" in fields["error"] and "lost" in fields["error"]
@@ -45,7 +46,7 @@
             await task.join()
 
         with pytest.raises(curio.TaskError):
-            curio.run(scenario)
+            run_in_virtual_time(scenario)
 
     def test_cancellation_is_not_logged_as_failure(self):
         fake_journal = FakeJournal()
@@ -55,7 +56,7 @@
             await curio.sleep(0)
             await task.cancel()
 
-        curio.run(scenario)
+        run_in_virtual_time(scenario)
         assert fake_journal.events == []
 
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -9,6 +9,7 @@
 from arbutusladder.errors import HttpError
 from arbutusladder.fakeexecutor import FakeExecutor, Faults
 from arbutusladder.states import Reason
+from tests.virtualtime import run_in_virtual_time
 
 
 def run_with_pool(script, connections=8):
@@ -28,7 +29,7 @@
             await pool.close_all()
             await task.cancel()
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 async def use(pool, connection):
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -11,6 +11,7 @@
 from arbutusladder.httpserver import HttpServer
 from arbutusladder.messages import Header
 from arbutusladder.states import Reason
+from tests.virtualtime import run_in_virtual_time
 
 
 async def echo(http_request):
@@ -27,7 +28,7 @@
             await server.stop()
             await task.cancel()
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 def run_with_raw_server(script, client):
@@ -50,7 +51,7 @@
         finally:
             await task.cancel()
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 class TestExchange:
--- a/tests/test_shardjobs.py
+++ b/tests/test_shardjobs.py
@@ -19,6 +19,7 @@
     ShardOwner,
     make_job,
     run_with_cluster,
+    run_with_cluster_thread,
     wait_until,
 )
 
@@ -72,7 +73,7 @@
                 cluster.count_starts(),
             )
 
-        late_exchanges, violations, starts_by_task = run_with_cluster(scenario)
+        late_exchanges, violations, starts_by_task = run_with_cluster_thread(scenario)
         assert late_exchanges == 0
         assert violations == NO_VIOLATIONS
         assert set(starts_by_task.values()) == {1}
@@ -383,7 +384,7 @@
             await owner.crash()
             return cpu_s, queued_tasks, states, cluster.find_violations()
 
-        return run_with_cluster(scenario)
+        return run_with_cluster_thread(scenario)
 
     def test_cost_is_linear(self):
         few_jobs_result = self.cancel_all(500)
--- a/tests/test_workerclient.py
+++ b/tests/test_workerclient.py
@@ -13,6 +13,7 @@
 from arbutusladder.settings import Timing
 from arbutusladder.states import TaskActionKind
 from arbutusladder.workerclient import WorkerClient
+from tests.virtualtime import run_in_virtual_time
 
 
 class RecordingListener:
@@ -52,7 +53,7 @@
         finally:
             await serving.cancel()
 
-    return curio.run(main)
+    return run_in_virtual_time(main)
 
 
 class TestExchangeInterval:
