Spread concurrent calls for advice over the workers

Cause: a call for advice takes about a second and names the workers with the most free cores.

Change: AdviceDemand spreads the demand of each step with a call in progress over the workers that the call names; other calls rank and count workers by what remains. A step waits for advice while its call is in progress.

TestConcurrentAdvice fails without the change.

--- a/arbutusladder/cell/advicecalls.py
+++ b/arbutusladder/cell/advicecalls.py
@@ -6,6 +6,7 @@
 from arbutusladder.cell.workers import Worker
 from arbutusladder.cell.workerselection import count_fitting_tasks
 from arbutusladder.ids import VmId
+from arbutusladder.messages import Resources
 
 # Advice calls expected to take longer than this many seconds are long calls, which may
 # not occupy all entry VMs: urgent calls need an idle one at once.
@@ -49,25 +50,69 @@
         return True
 
 
-def select_advice_workers(stage: Stage, candidates: list[Worker]) -> tuple[VmId, ...]:
-    """Returns the workers that an advice call should name, most free CPU first.
+class AdviceDemand:
+    """Cores of each worker that steps with a call in progress are expected to use.
+
+    A call takes about a second, in which many others begin. Without their demand all of
+    them would name the same workers, and most steps would find these full afterwards.
+    """
+
+    def __init__(self):
+        self._cpu_by_vm: dict[VmId, float] = {}
+        self._share_by_stage: dict[str, tuple[tuple[VmId, ...], float]] = {}
+
+    def begin_call(self, stage: Stage, vms: tuple[VmId, ...]) -> None:
+        """Adds the demand of a step, spread evenly over the workers that a call names.
+
+        Args:
+            stage: The step.
+            vms: The workers.
+        """
+        cpu = stage.spec.need.cpu * len(stage.waiting_tasks()) / len(vms)
+        self._share_by_stage[stage.key] = (vms, cpu)
+        for vm in vms:
+            self._cpu_by_vm[vm] = self._cpu_by_vm.get(vm, 0.0) + cpu
+
+    def end_call(self, key: str) -> None:
+        """Removes the demand of a step, if it has any.
+
+        Args:
+            key: Key of the step.
+        """
+        vms, cpu = self._share_by_stage.pop(key, ((), 0.0))
+        for vm in vms:
+            self._cpu_by_vm[vm] -= cpu
+
+    def remaining(self, worker: Worker) -> Resources:
+        """Returns the free resources of a worker beyond the expected demand."""
+        free = worker.free
+        cpu = free.cpu - self._cpu_by_vm.get(worker.entry.vm, 0.0)
+        return Resources(max(0.0, cpu), free.memory_mb, free.accelerators)
+
+
+def select_advice_workers(
+    stage: Stage, candidates: list[Worker], demand: AdviceDemand
+) -> tuple[VmId, ...]:
+    """Returns the workers that an advice call should name, most remaining CPU first.
 
     Each worker named makes the call longer, so only enough for the step's tasks are
-    named. They are ordered by free CPU because calls that named the same workers
-    regardless of free resources would place all work on these.
+    named.
 
     Args:
         stage: Step that needs advice.
         candidates: Workers for which the step has no advice yet.
+        demand: Demand of the steps with a call in progress.
     """
     wanted_slots = len(stage.tasks) / EXPECTED_APPROVAL_SHARE
     selected: list[VmId] = []
     expected_slots = 0.0
-    for worker in sorted(candidates, key=lambda worker: -worker.free.cpu):
+    ranked = [(demand.remaining(worker), worker) for worker in candidates]
+    ranked.sort(key=lambda pair: -pair[0].cpu)
+    for remaining, worker in ranked:
         if len(selected) >= MAX_WORKERS_PER_CALL:
             break
         if len(selected) >= MIN_WORKERS_PER_CALL and expected_slots >= wanted_slots:
             break
         selected.append(worker.entry.vm)
-        expected_slots += count_fitting_tasks(stage, worker.free)
+        expected_slots += count_fitting_tasks(stage, remaining)
     return tuple(selected)
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 
 from arbutusladder import events
+from arbutusladder.cell.advicecalls import AdviceDemand
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
     StartOrder,
@@ -68,6 +69,7 @@
             them, so that the list of the jobs on them stays complete.
         listed_expiring_vms: Those of them whose leases the claim says to end soon, so
             that they must not be extended.
+        advice_demand: Demand of the steps with a call for advice in progress.
         changes: Changes that are not logged or stored yet.
     """
 
@@ -82,6 +84,7 @@
         self.unreported = UnreportedWorkers()
         self.listed_silent_vms: set[VmId] = set()
         self.listed_expiring_vms: set[VmId] = set()
+        self.advice_demand = AdviceDemand()
         self.changes = PendingChanges()
         self._report_processor = ReportProcessor(self)
 
@@ -262,6 +265,7 @@
             reply: The reply, with a ticket for each permitted worker.
             now: Monotonic time in seconds.
         """
+        self.advice_demand.end_call(key)
         stage = self.stage(key)
         if stage is None:
             return
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -333,8 +333,12 @@
             and meets_requirements(stage, worker)
             and fits(stage.spec.need, self._resources_to_match(stage, worker))
         ]
-        vms = select_advice_workers(stage, unasked)
-        return self._request_advice(stage, vms, this_round) if vms else []
+        demand = self._cell.advice_demand
+        vms = select_advice_workers(stage, unasked, demand)
+        orders = self._request_advice(stage, vms, this_round) if vms else []
+        if orders:
+            demand.begin_call(stage, vms)
+        return orders
 
     def _resources_to_match(self, stage: Stage, worker: Worker) -> Resources:
         """Returns the resources that must fit a task for a call to name the worker."""
@@ -359,8 +363,10 @@
     """Returns what a step waits for that was not started in a round."""
     if stage.plan:
         return WaitCause.TICKETS
+    if stage.advice.call_pending:
+        return WaitCause.ADVICE
     if needs_advice(stage) and not stage.advice.ticket_by_vm:
-        return WaitCause.ADVICE if stage.advice.call_pending else WaitCause.CALLER
+        return WaitCause.CALLER
     return WaitCause.ROOM
 
 
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -183,6 +183,49 @@
         assert len({order.vm for order in simulation.started}) > 100
 
 
+class TestConcurrentAdvice:
+    """Pattern: gangs arrive in a burst while most workers are idle."""
+
+    GANGS = 24
+    CALL_S = 1.0
+
+    def test_gangs_do_not_wait_for_a_third_call(self):
+        """Guards against calls at the same time that all name the same workers.
+
+        Then most gangs found the workers that the advice permits full, and called again
+        up to five times; the last ones started 6 s late.
+        """
+        terms = workloads.queue(
+            "advised",
+            1,
+            2.2,
+            1.0,
+            advice_s=0.7,
+            advice_each_s=0.01,
+            advice_validity_s=1.5,
+        )
+        simulation = Simulation(
+            workloads.workers(count=270, rack=20),
+            duration,
+            is_permitted=lambda stage, vm: (
+                (int(stage[:16], 16) * 7919 + int(vm[2:]) * 31) % 4 == 0
+            ),
+            callers=96,
+        )
+        step = workloads.StepSpec(20, workloads.Resources(18.0, 1000.0), 5.0, gang=True)
+        for index in range(self.GANGS):
+            simulation.submit_at(
+                index * 0.02, workloads.job(job_number(3, index), terms, step)
+            )
+        simulation.run(30)
+        objective_s = terms.stretch * step.estimate_s + terms.objective_s
+        turnarounds = [
+            simulation.turnaround_s(job) for job in simulation.submitted_at_by_job
+        ]
+        assert all(turnaround <= objective_s for turnaround in turnarounds)
+        assert simulation.advice_s <= 2 * self.GANGS * self.CALL_S
+
+
 class TestAdviceWithFewCallers:
     """Pattern: a surge while most entry VMs cannot call the advice service."""
 
