--- a/arbutusladder/jobstore.py
+++ b/arbutusladder/jobstore.py
@@ -6,6 +6,7 @@
 as it has read a snapshot of each shard.
 """
 
+import itertools
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from typing import Any
@@ -24,6 +25,8 @@
 # Ended jobs to remember. Copies of a submission arrive within seconds and must not
 # restore a job that has ended.
 MAX_ENDED_JOBS = 100_000
+# Newest of them that a snapshot lists, about 60 bytes each.
+MAX_ENDED_JOBS_IN_SNAPSHOT = 1_000
 
 
 @dataclass
@@ -128,8 +131,17 @@
             for active_job in jobs
             if active_job.ended_tasks
         ]
+        ended += [
+            TasksEnded(job_id, sorted(tasks))
+            for job_id, tasks in self._ended_tasks_by_unknown_job.items()
+        ]
         specs = [active_job.spec for active_job in jobs]
-        return JobsSnapshot(shard, epoch, self.next_offset, specs, ended)
+        newest_ends = itertools.islice(
+            reversed(self._ended_jobs.values()), MAX_ENDED_JOBS_IN_SNAPSHOT
+        )
+        return JobsSnapshot(
+            shard, epoch, self.next_offset, specs, ended, list(newest_ends)[::-1]
+        )
 
     def _apply_submission(self, message: JobSubmitted, offset: int) -> None:
         job_id = message.job.job_id
@@ -154,7 +166,7 @@
         active_job = self._jobs_by_id.get(message.job_id)
         if active_job:
             active_job.ended_tasks.update(message.tasks)
-        elif message.job_id not in self._ended_jobs and self._first_read_offset:
+        elif message.job_id not in self._ended_jobs:
             self._ended_tasks_by_unknown_job.setdefault(message.job_id, set()).update(
                 message.tasks
             )
@@ -170,6 +182,8 @@
 
     def _apply_snapshot(self, message: JobsSnapshot) -> None:
         self._apply_fence(message.shard, message.epoch)
+        for end in message.ended_jobs:
+            self._apply_end(end)
         if self.is_complete(message.shard) or message.upto < self._first_read_offset:
             return
         # The snapshot is the state after the record just before ``upto``.
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -532,7 +532,11 @@
     jobs: list[JobSpec]
     ended_tasks: list[TasksEnded] = field(default_factory=list)
     """
-    Ended tasks of the active jobs.
+    Ended tasks of the active jobs, and of jobs whose submission was not read.
+    """
+    ended_jobs: list[JobEnded] = field(default_factory=list)
+    """
+    Newest ends of jobs of all shards. A copy of their submission may follow, which must not restore them.
     """
 
 
--- a/tests/test_jobstore.py
+++ b/tests/test_jobstore.py
@@ -89,6 +89,22 @@
         partial_store.fold(5, early_store.snapshot("d0-0", 1))
         assert not partial_store.is_complete("d0-0")
 
+    def test_task_end_before_the_submission_counts(self):
+        """Guards against a task that runs again after its end was read first."""
+        store = fold(JobStore(), [TasksEnded("j", ["t1"]), submitted("j")])
+        assert places(store)["d0-0"] == {"j": ["t1"]}
+
+    def test_copy_after_a_snapshot_does_not_restore_a_job_whose_end_was_missed(self):
+        """Guards against a job that runs again at an owner that missed its end."""
+        whole = fold(JobStore(), [submitted("j"), JobEnded("j", JobState.FINISHED)])
+        partial_store = JobStore()
+        partial_store.missed(start=2)
+        records = [whole.snapshot("d0-0", 1), submitted("j")]
+        fold(partial_store, records, 2)
+        assert partial_store.is_complete("d0-0")
+        assert partial_store.job("j") is None
+        assert partial_store.ended("j").state is JobState.FINISHED
+
     @settings(derandomize=True, max_examples=300)
     @given(
         st.lists(
