Answer a step whose call for advice failed unexpectedly

Cause (by reading): an unexpected error of the client of the advice service ended the task of the call without a reply. The step then counted as waiting for one until the next takeover, and its job was never run.

TestUnexpectedError fails without the change.

--- a/arbutusladder/cell/advicedispatcher.py
+++ b/arbutusladder/cell/advicedispatcher.py
@@ -155,6 +155,7 @@
         )
         timeout = order.expected_s + TIMEOUT_MARGIN_S
         started_at = self._clock.now()
+        reply = None
         try:
             if vm == self._vm:
                 reply = await self._advisor.advise(
@@ -163,6 +164,11 @@
             else:
                 message = AdviceCall(request_id, order.stage, list(order.vms), timeout)
                 reply = await self._peers.call(SeatId(vm), message, timeout)
+        except Exception as error:
+            # Without a reply the step would wait for it until the next takeover.
+            self._journal.write(
+                events.BACKGROUND_TASK_FAILED, task="advice call", error=repr(error)
+            )
         finally:
             self._is_long_by_busy_vm.pop(vm, None)
             self._usage.calls += 1
--- a/tests/cell/test_advicedispatcher.py
+++ b/tests/cell/test_advicedispatcher.py
@@ -97,3 +97,18 @@
         entry_vms.dispatcher.close()
         run_in_virtual_time(entry_vms.start_calls, SHORT_S, 1)
         assert entry_vms.answered == [False, False]
+
+
+class TestUnexpectedError:
+    """Guards against a step that waits for ever for the reply of a failed call."""
+
+    def test_call_that_raises_ends_unanswered(self):
+        entry_vms = FakeEntryVms({"own": 0.0})
+
+        async def fail(*_):
+            raise ValueError("an error that no client of the service expects")
+
+        entry_vms.advise = fail
+        run_in_virtual_time(entry_vms.start_calls, SHORT_S)
+        assert entry_vms.answered == [False]
+        assert entry_vms.dispatcher.calls_in_progress == 0
