Go on at the failed page of newest records, and wait longer for it

Cause: a reader of newest records gave up a page after 2 s without a byte and began with the first page again.

Change: a reader goes on at the page that failed, for up to 8 s after its first one, and waits 4 s for a page after such a timeout.

--- a/arbutusladder/platform/store.py
+++ b/arbutusladder/platform/store.py
@@ -1,11 +1,13 @@
 """Client of the platform's log service (its "store"): topics of keyed records.
 
 Implements `arbutusladder.cell.interfaces.KeyedLog` over HTTP. Its only state is the
-average duration of reads, from which it derives their idle timeout.
+average duration of reads, from which it derives their idle timeout, and the pages of
+newest records of reads that failed.
 """
 
 import base64
 import struct
+from dataclasses import dataclass, field
 from http import HTTPStatus
 from urllib.parse import urlencode
 
@@ -24,8 +26,16 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.metrics import Metrics
 
-# Default seconds for a whole exchange, and without a byte of a page of newest records.
+# Default seconds for a whole exchange.
 ANSWER_TIMEOUT_S = 2.0
+# Seconds without a byte of a page of newest records, at first and after such a timeout.
+# All reads share the store's bandwidth: after a restart of many entry VMs, pages that
+# are given up too soon would only delay the others.
+PAGE_IDLE_S = 2.0
+RETRIED_PAGE_IDLE_S = 4.0
+# Seconds since the first page of newest records after which a reader begins again. The
+# records appended meanwhile must still be readable, which they are for 20 s or more.
+MAX_PAGES_AGE_S = 8.0
 # Seconds for a whole response of up to 1.4 MB over a link of 5 Mbit/s that other
 # responses share; an idle connection is closed much sooner.
 TRANSFER_TIMEOUT_S = 20.0
@@ -85,6 +95,28 @@
     has_more: bool = False
 
 
+@dataclass
+class _NewestPages:
+    """Pages of newest records that have been read of a topic.
+
+    Pages are not a consistent snapshot: records may be appended between them, so the
+    next read of the topic starts at the end that the first page gave.
+
+    Attributes:
+        started_at: Monotonic time in seconds of the request of the first page.
+        records: Records of the pages.
+        first_end: End of the topic by the first page.
+        last_key: Last key of the last page; empty before the first one.
+        idle_s: Idle timeout of the next page in seconds.
+    """
+
+    started_at: float
+    records: list[KeyedRecord] = field(default_factory=list)
+    first_end: int | None = None
+    last_key: str = ""
+    idle_s: float = PAGE_IDLE_S
+
+
 class PlatformLog:
     """Client of the platform's log; uses partition 0 of each topic.
 
@@ -99,6 +131,7 @@
         self._pool = pool
         self._metrics = metrics
         self._average_read_s = 0.0
+        self._unfinished_pages_by_topic: dict[str, _NewestPages] = {}
 
     async def append(
         self,
@@ -159,32 +192,49 @@
         return _decode_read(answer.body, offset)
 
     async def newest(self, topic: str) -> LogBatch:
-        """See `arbutusladder.cell.interfaces.KeyedLog.newest`."""
-        records: list[KeyedRecord] = []
-        first_end: int | None = None
-        last_key = ""
+        """See `arbutusladder.cell.interfaces.KeyedLog.newest`.
+
+        After a failure the next call goes on at the page that failed.
+        """
+        now = self._pool.now()
+        pages = self._unfinished_pages_by_topic.pop(topic, None)
+        if pages is None or now - pages.started_at > MAX_PAGES_AGE_S:
+            idle_s = pages.idle_s if pages else PAGE_IDLE_S
+            pages = _NewestPages(now, idle_s=idle_s)
+        try:
+            return await self._read_pages(topic, pages)
+        except LogUnavailable:
+            self._unfinished_pages_by_topic[topic] = pages
+            raise
+
+    async def _read_pages(self, topic: str, pages: _NewestPages) -> LogBatch:
         while True:
             query: dict[str, object] = {"topic": topic, "part": 0}
-            if last_key:
-                query["after"] = last_key
-            answer = await self._call(
-                "GET",
-                "/v1/log-newest",
-                query,
-                timeout=TRANSFER_TIMEOUT_S,
-                expected=READ_STATUSES,
-                idle_timeout=ANSWER_TIMEOUT_S,
-            )
+            if pages.last_key:
+                query["after"] = pages.last_key
+            requested_at = self._pool.now()
+            try:
+                answer = await self._call(
+                    "GET",
+                    "/v1/log-newest",
+                    query,
+                    timeout=TRANSFER_TIMEOUT_S,
+                    expected=READ_STATUSES,
+                    idle_timeout=pages.idle_s,
+                )
+            except LogUnavailable:
+                if self._pool.now() - requested_at >= pages.idle_s:
+                    pages.idle_s = RETRIED_PAGE_IDLE_S
+                raise
             if answer.status in {HTTPStatus.NOT_FOUND, HTTPStatus.GONE}:
                 return LogBatch([], 0, 0)
             page = _decode_json(answer, _Newest)
-            first_end = page.end if first_end is None else first_end
-            records += self._decode_items(page.items)
+            if pages.first_end is None:
+                pages.first_end = page.end
+            pages.records += self._decode_items(page.items)
             if not page.has_more or not page.items:
-                # Pages are not a consistent snapshot: records may be appended between
-                # them, so the next read starts at the end that the first page gave.
-                return LogBatch(records, page.end, first_end)
-            last_key = page.items[-1].key
+                return LogBatch(pages.records, page.end, pages.first_end)
+            pages.last_key = page.items[-1].key
 
     def _decode_items(self, items: list[_Item]) -> list[KeyedRecord]:
         records = []
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -54,6 +54,8 @@
         appends: Number of append calls.
         append_s: Seconds for which an append occupies its topic.
         malformed_keys: Keys whose newest values are sent in an invalid form.
+        pages: Requested pages of newest records, each by the key that it follows.
+        refused_pages: Number of the next later pages that are refused.
     """
 
     def __init__(self):
@@ -64,6 +66,8 @@
         self.appends = 0
         self.append_s = 0.0
         self.malformed_keys: set[str] = set()
+        self.pages: list[str] = []
+        self.refused_pages = 0
         self.server = HttpServer("127.0.0.1:0", self.handle, max_body=4 << 20)
 
     @property
@@ -89,6 +93,11 @@
             case "/v1/log-read":
                 return await self._read(topic, request)
             case "/v1/log-newest":
+                after = request.query.get("after", "")
+                self.pages.append(after)
+                if after and self.refused_pages:
+                    self.refused_pages -= 1
+                    return json_answer(503)
                 return self._newest(topic, request)
         return json_answer(404)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -16,6 +16,7 @@
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.metrics import Metrics
+from arbutusladder.platform import store as store_client
 from arbutusladder.platform.store import PlatformLog
 from tests.platform.fakes import FakeStore
 
@@ -130,6 +131,48 @@
 
         assert run_with_store(scenario) == (1200, 1200)
 
+    def test_newest_goes_on_at_the_page_that_failed(self):
+        """Guards against a busy store that sends the same pages again and again.
+
+        A record of an earlier page that is written between the calls must be part of
+        the next read of the topic.
+        """
+
+        async def scenario(store, log):
+            items = [(f"{number:05}", b"x") for number in range(1200)]
+            await log.append(TOPIC, items)
+            store.refused_pages = 1
+            with pytest.raises(LogUnavailable):
+                await log.newest(TOPIC)
+            await log.append(TOPIC, [("00001", b"y")])
+            batch = await log.newest(TOPIC)
+            later = await log.read(TOPIC, batch.next_offset)
+            again = await log.newest(TOPIC)
+            return store.pages, batch, later, len(again.records)
+
+        pages, batch, later, again_count = run_with_store(scenario)
+        last_keys = ["00499", "00999"]
+        assert pages == ["", last_keys[0], *last_keys, "", *last_keys]
+        assert [record.key for record in batch.records] == [
+            f"{number:05}" for number in range(1200)
+        ]
+        assert [(r.key, r.value) for r in later.records] == [("00001", b"y")]
+        assert again_count == 1200
+
+    def test_old_pages_are_read_again(self, monkeypatch):
+        """Guards against a read from an offset that the store has deleted meanwhile."""
+        monkeypatch.setattr(store_client, "MAX_PAGES_AGE_S", 0.0)
+
+        async def scenario(store, log):
+            await log.append(TOPIC, [(f"{n:05}", b"x") for n in range(600)])
+            store.refused_pages = 1
+            with pytest.raises(LogUnavailable):
+                await log.newest(TOPIC)
+            await log.newest(TOPIC)
+            return store.pages
+
+        assert run_with_store(scenario) == ["", "00499", "", "00499"]
+
     def test_unanswered_reads_do_not_extend_later_timeouts(self):
         """Guards against detecting seconds late that the store is available again.
 
