--- a/review/standins/executors.py
+++ b/review/standins/executors.py
@@ -176,6 +176,8 @@
         self.born = int(time.time() * 1000)
         self._clock_base = time.monotonic()
         self.fence = 0
+        self.sender_by_fence: dict[int, str] = {}
+        self.reported_senders: set[tuple[int, str]] = set()
         self.deadline: float | None = None
         self.running: dict[tuple[str, int], Run] = {}
         self.ended: list[list] = []
@@ -308,6 +310,7 @@
         if body.get("fence", 0) < self.fence:
             return json_response(409, clock | {"reason": "fence"})
         self.fence = body.get("fence", 0)
+        self._check_sender(request.sender)
         match request.path:
             case "/v1/run-start":
                 return self._start(body, clock)
@@ -317,6 +320,17 @@
                 return await self._hold(body)
         return json_response(404)
 
+    def _check_sender(self, sender: str) -> None:
+        """Checks that one process only gives orders under the present fence."""
+        if not sender:
+            return
+        first = self.sender_by_fence.setdefault(self.fence, sender)
+        if first != sender and (self.fence, sender) not in self.reported_senders:
+            self.reported_senders.add((self.fence, sender))
+            self._fleet.record.breaks(
+                "ONE", f"{first} and {sender} order {self.name} with fence {self.fence}"
+            )
+
     def _extend(self, body: dict) -> None:
         if "deadline-ms" in body:
             longest = self.clock_ms() + self._fleet.max_hold_s * 1000
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -17,6 +17,7 @@
     query: dict[str, str]
     headers: dict[str, str]
     body: bytes
+    sender: str = ""
 
     def json(self) -> dict:
         """Returns the decoded body."""
@@ -53,10 +54,17 @@
 
     Args:
         handler: Coroutine function that returns the response, or None for none.
+
+    Attributes:
+        dark: Whether the path is cut.
+        address: IP address and port.
+        identify: Returns the name of the sender of a connection by the ports of its
+            two ends; an empty name if that is not known.
     """
 
     def __init__(self, handler: Handler):
         self._handler = handler
+        self.identify: Callable[[int, int], str] = lambda port, server_port: ""
         self._server: asyncio.Server | None = None
         self._life = 0
         self.dark = False
@@ -74,6 +82,9 @@
     async def _serve(self, reader, writer) -> None:
         life = self._life
         dead = self.dark
+        sender = self.identify(
+            writer.get_extra_info("peername")[1], writer.get_extra_info("sockname")[1]
+        )
         try:
             while True:
                 request = await read_request(reader)
@@ -86,6 +97,7 @@
                 if dead or life != self._life:
                     writer.transport.abort()
                     return
+                request.sender = sender
                 response = await self._handler(request)
                 if response is None or self.dark or life != self._life:
                     dead = True
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -16,6 +16,7 @@
 from standins.executors import Executor, Fleet, TaskSpec
 from standins.http import Request, Response, Server, json_response, send_request
 from standins.record import Record
+from standins.senders import find_sender
 from standins.store import Store
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -128,6 +129,9 @@
         self._platform_ip = f"{network}.1"
         self._ips = [f"{network}.{10 + number}" for number in range(entries)]
         self.entries: list[Entry] = []
+        servers = [self.store.server, *(row.server for row in self.executors)]
+        for server in servers:
+            server.identify = self._find_sender
         self._tasks: list[asyncio.Task] = []
         self._job_numbers = iter(range(1, 1 << 30))
 
@@ -230,6 +234,12 @@
             return None
         return response.json()["state"]
 
+    def _find_sender(self, port: int, server_port: int) -> str:
+        pid_by_name = {
+            entry.name: entry.process.pid for entry in self.entries if entry.process
+        }
+        return find_sender(port, server_port, pid_by_name)
+
     async def _is_ready(self, entry: Entry) -> bool:
         response = await send_request(entry.ready, "GET", "/v1/readyz", timeout=1.0)
         return response is not None and response.status == 200
