--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -176,8 +176,11 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
     def new_job_id(self) -> str:
-        """Returns an unused job id."""
-        return f"{random.getrandbits(32):08x}{next(self._job_numbers):08x}"
+        """Returns an unused job id.
+
+        It ends with a letter, so that no task name in a record looks like an address.
+        """
+        return f"{random.getrandbits(32):08x}{next(self._job_numbers):07x}f"
 
     async def submit(
         self,
