--- a/review/1/play.py
+++ b/review/1/play.py
@@ -23,7 +23,7 @@
 
 def make_world(record) -> World:
     """Returns the deployment: three entry VMs and four executors in one rack."""
-    return World(record, 3, EXECUTORS, CPU, lambda number: ["a", "r1-0"])
+    return World(record, 3, EXECUTORS, CPU, lambda number: ["a", "r1-0"], True)
 
 
 async def play(world: World, trouble: bool) -> None:
