Log how old the owner's knowledge of cancellations is

Event 466 names the record of a cancellation, 471 when and how the owner learned of it, 468 and 469 the age of what it knew. No decision changes.

--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -42,6 +42,7 @@
         progress: Newest known progress.
         progress_offset: Offset of the record with that progress; -1 before the first.
         cancelled: Whether a cancellation is stored.
+        cancel_offset: Offset of its first known record; -1 before it.
         reported_end: Final state that an owner reported and that is not stored yet.
     """
 
@@ -49,6 +50,7 @@
     progress: JobProgress = field(default_factory=lambda: JobProgress(JobPhase.QUEUED))
     progress_offset: int = -1
     cancelled: bool = False
+    cancel_offset: int = -1
     reported_end: JobPhase | None = None
 
     @property
@@ -116,7 +118,7 @@
             job = self.job_by_id.setdefault(job_id, JobEntry())
             if record.key.endswith(CANCEL_SUFFIX):
                 if not job.cancelled:
-                    job.cancelled = True
+                    job.cancelled, job.cancel_offset = True, record.offset
                     changed.append(job_id)
             elif job.record is None and self._decode_submission(job, record):
                 changed.append(job_id)
@@ -184,6 +186,11 @@
             return None
         return job.phase
 
+    def cancel_offset(self, job_id: JobId) -> int:
+        """Returns the offset of a job's cancellation; -1 if none is known here."""
+        job = self.job_by_id.get(job_id)
+        return job.cancel_offset if job else -1
+
     def has_jobs_of_tasks(self, tasks: list[str]) -> bool:
         """Returns whether the job of each named task was read or is finished."""
         return all(self._is_known(task) for task in tasks)
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -11,6 +11,7 @@
 
 import curio
 
+from arbutusladder import events
 from arbutusladder.backgroundtasks import log_failure, spawn_logged
 from arbutusladder.cell.appender import (
     FORWARDING_MARGIN_S,
@@ -27,6 +28,7 @@
     OrderSender,
     WorkerEntry,
 )
+from arbutusladder.cell.jobsview import JobsView
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
     PROGRESS_TOPIC,
@@ -38,7 +40,7 @@
 from arbutusladder.cell.owner import Owner
 from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.sharedread import SharedRead
-from arbutusladder.cell.states import JobPhase, SubmissionOutcome
+from arbutusladder.cell.states import JobPhase, JobsSource, SubmissionOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import Epoch, JobId, RequestId, SeatId, VmId
@@ -176,7 +178,7 @@
         self._in_doubt_until_by_key: dict[str, float] = {}
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
-        self._jobs_offset = 0
+        self.jobs_view = JobsView()
         self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
@@ -279,29 +281,45 @@
 
     async def _load_from_log(self) -> None:
         while not self.loaded:
+            sent_at = self._clock.now_with_suspensions()
             try:
                 jobs = await self.log.newest(JOBS_TOPIC)
                 progress = await self.log.newest(PROGRESS_TOPIC)
             except LogUnavailable:
                 await curio.sleep(RETRY_DELAY_S)
                 continue
-            await self._apply_jobs(jobs.records)
+            await self._apply_jobs(jobs.records, JobsSource.READ)
             self.table.apply_progress(progress.records)
-            self._jobs_offset = jobs.next_offset
+            self.jobs_view.record_read(jobs.next_offset, jobs.end, sent_at)
             self._progress_position.record_read(progress.next_offset)
             self.loaded = True
             # This entry VM may claim the cell from now on.
             self.claims.poll_soon()
 
-    async def _apply_jobs(self, records: list[KeyedRecord]) -> None:
+    async def _apply_jobs(self, records: list[KeyedRecord], source: JobsSource) -> None:
         changed = self.table.apply_jobs(records)
         await self.appender.confirm(record.key for record in records if record.value)
         if changed and self._owner:
             await self._owner.handle_job_changes(changed)
+            self._log_cancellations(changed, source)
+
+    def _log_cancellations(self, job_ids: list[JobId], source: JobsSource) -> None:
+        age_s = self.jobs_view.age_s(self._clock.now_with_suspensions())
+        for job_id in job_ids:
+            entry = self.table.job_by_id[job_id]
+            if entry.cancelled:
+                self._dependencies.journal.write(
+                    events.JOB_CANCEL_APPLIED,
+                    job=job_id,
+                    offset=entry.cancel_offset,
+                    source=source.value,
+                    position=self.jobs_view.offset,
+                    seconds=age_s,
+                )
 
     async def on_stored(self, records: list[KeyedRecord]) -> None:
         """Applies records that this entry VM appended and relays them to the owner."""
-        await self._apply_appended_jobs(records)
+        await self._apply_appended_jobs(records, JobsSource.OWN_APPEND)
         claim = self.claims.current
         if claim and claim.holder != self.vm:
             entries = [LogEntry(r.offset, r.key, r.value) for r in records]
@@ -364,10 +382,11 @@
         reply = StoreReply(call.request_id, outcomes, self.appender.append_s)
         await self.peers.send(sender, reply)
 
-    async def _apply_appended_jobs(self, records: list[KeyedRecord]) -> None:
-        if records[0].offset == self._jobs_offset:
-            self._jobs_offset += len(records)
-        await self._apply_jobs(records)
+    async def _apply_appended_jobs(
+        self, records: list[KeyedRecord], source: JobsSource
+    ) -> None:
+        self.jobs_view.record_records(records[0].offset, len(records))
+        await self._apply_jobs(records, source)
 
     async def _poll_jobs(self) -> None:
         while True:
@@ -388,13 +407,14 @@
 
     async def _read_jobs(self) -> None:
         while True:
+            sent_at = self._clock.now_with_suspensions()
             try:
-                batch = await self.log.read(JOBS_TOPIC, self._jobs_offset)
+                batch = await self.log.read(JOBS_TOPIC, self.jobs_view.offset)
             except OffsetDeleted:
                 batch = await self.log.newest(JOBS_TOPIC)
-            await self._apply_jobs(batch.records)
-            self._jobs_offset = max(self._jobs_offset, batch.next_offset)
-            if self._jobs_offset >= batch.end or not batch.records:
+            await self._apply_jobs(batch.records, JobsSource.READ)
+            self.jobs_view.record_read(batch.next_offset, batch.end, sent_at)
+            if self.jobs_view.offset >= batch.end or not batch.records:
                 return
 
     async def _poll_progress(self) -> None:
@@ -494,7 +514,8 @@
                 )
             case JobsRelay() as relay:
                 await self._apply_appended_jobs(
-                    [KeyedRecord(r.offset, r.key, r.value) for r in relay.records]
+                    [KeyedRecord(r.offset, r.key, r.value) for r in relay.records],
+                    JobsSource.RELAY,
                 )
             case JobsInDoubt() as doubt:
                 self._mark_in_doubt(doubt.keys)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -276,7 +276,7 @@
         return longest_lease_s(self.lease_s)
 
     async def handle_job_changes(self, job_ids: list[JobId]) -> None:
-        """Adds new jobs and applies cancellations that were read from the log.
+        """Adds new jobs and applies cancellations that are stored in the log.
 
         Changes during the takeover stay in the job table until the predecessor's
         progress is read, because the predecessor may have run these jobs. For a short
@@ -388,6 +388,7 @@
             expected=usage.expected_s,
             append=self.writer.append_s,
             late=self._max_heartbeat_delay_s,
+            view=self._member.jobs_view.age_s(self._clock.now_with_suspensions()),
         )
         self._max_heartbeat_delay_s = 0.0
 
@@ -477,7 +478,10 @@
             self.state.expire_leases(now)
             if self.may_give_orders():
                 capacity = self.advice_dispatcher.available_capacity(now)
-                for order in self._placer.decide(now, capacity):
+                view_age_s = self._member.jobs_view.age_s(
+                    self._clock.now_with_suspensions()
+                )
+                for order in self._placer.decide(now, capacity, view_age_s):
                     await self._send_order(order)
             self.state.remove_finished_jobs()
             await self.flush_changes()
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -103,7 +103,9 @@
         self.load = LoadSummary()
         self._last_round_at: float | None = None
 
-    def decide(self, now: float, advice: AdviceCapacity) -> list[Order]:
+    def decide(
+        self, now: float, advice: AdviceCapacity, view_age_s: float = 0.0
+    ) -> list[Order]:
         """Returns the orders to send now and reserves resources for every start.
 
         A step that finds no idle entry VM for a call to the advice service tries
@@ -113,6 +115,8 @@
         Args:
             now: Monotonic time in seconds.
             advice: Calls to the advice service that may begin.
+            view_age_s: Age in seconds of what is known of submissions and
+                cancellations, for the event log.
 
         Returns:
             The orders: stops first, then the others by the priority of their steps.
@@ -143,6 +147,7 @@
                     waiting=len(waiting),
                     placed=_format_starts(starts),
                     waits=_format_waits(stage.take_waits()),
+                    view=view_age_s,
                 )
             else:
                 cause = _wait_cause(stage)
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -21,6 +21,14 @@
 FINAL_PHASES = frozenset({JobPhase.COMPLETED, JobPhase.FAILED, JobPhase.CANCELLED})
 
 
+class JobsSource(Enum):
+    """How an entry VM learned of submissions and cancellations."""
+
+    READ = "read"
+    OWN_APPEND = "own_append"
+    RELAY = "relay"
+
+
 class RunPhase(Enum):
     """State of one run of a task as known to the owner.
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -173,7 +173,8 @@
     468,
     Level.INFO,
     "step {step} started {tasks} tasks, first known {seconds:.3f} s before; "
-    "{waiting} steps waited; index:run@worker {placed}; waited for {waits}",
+    "{waiting} steps waited; index:run@worker {placed}; waited for {waits}; "
+    "jobs known as of {view:.3f} s before",
 )
 OWNER_LOAD = Event(
     469,
@@ -181,7 +182,8 @@
     "{jobs} open jobs, {waiting} waiting steps, {free:.0f} of {total:.0f} cores free "
     "on {open} open of {workers} workers, {advising} calls for advice in progress, "
     "{advised} ended in {taken:.1f} s instead of {expected:.1f} s, "
-    "last append took {append:.3f} s, decisions were {late:.3f} s late",
+    "last append took {append:.3f} s, decisions were {late:.3f} s late, "
+    "jobs known as of {view:.3f} s before",
 )
 ADVICE_UNANSWERED = Event(
     470,
@@ -189,7 +191,15 @@
     "entry VM {vm} received no advice for step {step}",
     "check the advice service if this event recurs on many entry VMs",
 )
-JOB_CANCEL_REQUESTED = Event(466, Level.INFO, "cancellation of job {job}: {outcome}")
+JOB_CANCEL_REQUESTED = Event(
+    466, Level.INFO, "cancellation of job {job}: {outcome}, record {offset}"
+)
+JOB_CANCEL_APPLIED = Event(
+    471,
+    Level.INFO,
+    "the owner applies the cancellation of job {job}, record {offset}, by {source}; "
+    "it knows the records before {position}, as of {seconds:.3f} s before",
+)
 
 # 500 to 599: configuration
 CONFIG_APPLIED = Event(500, Level.INFO, "revision {revision} by {author} is in force")
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -136,7 +136,10 @@
         if outcome is None:
             return _json_answer(HTTPStatus.GONE, {"error": "no such job"})
         self._journal.write(
-            events.JOB_CANCEL_REQUESTED, job=job_id, outcome=outcome.value
+            events.JOB_CANCEL_REQUESTED,
+            job=job_id,
+            outcome=outcome.value,
+            offset=self._member.table.cancel_offset(job_id),
         )
         return self._answer_for_outcome(outcome)
 
