--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -11,6 +11,7 @@
 from arbutusladder.cell.claims import CLAIM_TIMEOUT_S, FIRST_EPOCH
 from arbutusladder.cell.confirmation import EVIDENCE_VALIDITY_S, OwnershipEvidence
 from arbutusladder.cell.interfaces import OrderAnswer, StartOrder, WorkerReport
+from arbutusladder.cell.jobsview import JobsView
 from arbutusladder.cell.jobtable import JobTable
 from arbutusladder.cell.memberregistry import MemberRegistry
 from arbutusladder.cell.owner import (
@@ -53,10 +54,11 @@
 
 
 class StubMember:
-    """Stands in for the entry VM of an owner; sends nothing."""
+    """Stands in for the entry VM of an owner; it has read the jobs, and sends nothing."""
 
-    def __init__(self):
+    def __init__(self, clock):
         self.peers = self
+        self.jobs_view = JobsView(complete_at=clock.now_with_suspensions())
 
     def apply_relay(self, relay):
         """Drops a relay of progress."""
@@ -105,7 +107,7 @@
     owner._dependencies = StubDependencies(orders)
     owner._end_cause = curio.Result()
     owner._decisions_needed = curio.Event()
-    owner._member = StubMember()
+    owner._member = StubMember(clock)
     owner._members = MemberRegistry(EntryVm("a", "a:1"), owner.epoch)
     for vm in members:
         owner._members.add(EntryVm(vm, f"{vm}:1"), clock.now())
