Start tasks only on recent knowledge of cancellations and workers

Cause: evidence of the ownership permitted starts, and it says nothing about what the owner has read. A stored renewal or the heartbeats of a majority permitted them right after a pause, a cut, or beside reads without an answer. A cancellation then reached the owner by one relay, sent once to the holder that the storing entry VM knew.

While the log cannot be reached, heartbeats answered by a majority are the proof for cancellations; each hello then names the stored cancellations that the newest owner's position does not cover. Stop orders need no such proof. 225 and 226 log the changes.

--- a/arbutusladder/cell/confirmation.py
+++ b/arbutusladder/cell/confirmation.py
@@ -11,6 +11,7 @@
 have waited in a socket while the owner was paused and replaced.
 """
 
+import math
 from collections.abc import Callable
 
 from arbutusladder.cell.claims import CLAIM_TIMEOUT_S
@@ -86,12 +87,26 @@
         Args:
             other_vms: Number of the other entry VMs of the cell.
         """
-        confirmed_at = self._confirmed_at
+        now = self._clock.now_with_suspensions()
+        return now - max(self._confirmed_at, self._members_confirmed_at(other_vms))
+
+    def members_age_s(self, other_vms: int) -> float:
+        """Returns the age in seconds of the evidence from entry VMs alone.
+
+        It is 0 without other entry VMs, unless this one was paused.
+
+        Args:
+            other_vms: Number of the other entry VMs of the cell.
+        """
+        if not other_vms and self._paused_at is None:
+            return 0.0
+        now = self._clock.now_with_suspensions()
+        return now - self._members_confirmed_at(other_vms)
+
+    def _members_confirmed_at(self, other_vms: int) -> float:
         newest_first = sorted(self._confirmed_at_by_vm.values(), reverse=True)
         needed = max(1, (other_vms + 1) // 2)
-        if len(newest_first) >= needed:
-            confirmed_at = max(confirmed_at, newest_first[needed - 1])
-        return self._clock.now_with_suspensions() - confirmed_at
+        return newest_first[needed - 1] if len(newest_first) >= needed else -math.inf
 
     def is_valid(self, count_other_vms: Callable[[], int]) -> bool:
         """Returns whether the owner may rely on still being the owner.
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -78,6 +78,13 @@
     return cancellation_key(job_id), b"1"
 
 
+def cancelled_job_id(record: KeyedRecord) -> JobId | None:
+    """Returns the job of a cancellation's record; None for other records."""
+    if not record.value or not record.key.endswith(CANCEL_SUFFIX):
+        return None
+    return JobId(record.key.removesuffix(CANCEL_SUFFIX))
+
+
 def progress_item(job_id: JobId, progress: JobProgress) -> tuple[str, bytes]:
     """Returns key and value of a progress record."""
     return job_id, _ENCODER.encode(progress)
@@ -117,14 +124,31 @@
                 continue
             job = self.job_by_id.setdefault(job_id, JobEntry())
             if record.key.endswith(CANCEL_SUFFIX):
+                if job.cancel_offset < 0:
+                    job.cancel_offset = record.offset
                 if not job.cancelled:
-                    job.cancelled, job.cancel_offset = True, record.offset
+                    job.cancelled = True
                     changed.append(job_id)
             elif job.record is None and self._decode_submission(job, record):
                 changed.append(job_id)
             self._update_indexes(job_id, job)
         return changed
 
+    def apply_cancellations(self, job_ids: list[JobId]) -> list[JobId]:
+        """Applies stored cancellations whose records were not read yet.
+
+        Returns:
+            Ids of the jobs that were not known to be cancelled.
+        """
+        changed = []
+        for job_id in job_ids:
+            job = self.job_by_id.setdefault(job_id, JobEntry())
+            if not job.cancelled:
+                job.cancelled = True
+                changed.append(job_id)
+                self._update_indexes(job_id, job)
+        return changed
+
     def apply_progress(self, records: list[KeyedRecord]) -> None:
         """Applies progress records."""
         for record in records:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -24,23 +24,26 @@
     Advisor,
     KeyedLog,
     KeyedRecord,
+    LogBatch,
     OffsetDeleted,
     OrderSender,
     WorkerEntry,
 )
-from arbutusladder.cell.jobsview import JobsView
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
     PROGRESS_TOPIC,
     JobTable,
     cancellation_item,
+    cancelled_job_id,
     submission_item,
 )
 from arbutusladder.cell.logretry import retry_until_answered
+from arbutusladder.cell.owncancellations import OwnCancellations
 from arbutusladder.cell.owner import Owner
 from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.cell.states import JobPhase, JobsSource, SubmissionOutcome
+from arbutusladder.cell.topicview import TopicView
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import Epoch, JobId, RequestId, SeatId, VmId
@@ -85,6 +88,8 @@
 MAX_FORWARDING_MEMBERS = 3
 # Seconds before a read of the log is repeated after a failure.
 RETRY_DELAY_S = 0.2
+# Seconds between checks, while waiting for the next read, whether it is due at once.
+POLL_STEP_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -95,12 +100,15 @@
         registry_topic: Topic in which workers register.
         max_lease_s: Longest lease in seconds that a worker grants.
         finished_retention_s: Seconds for which the state of a finished job is kept.
+        cancellation_limit_s: Seconds after an acknowledged cancellation from which no
+            task of its job may start.
         undersized: Whether this entry VM has too few resources to own a large cell.
     """
 
     registry_topic: str
     max_lease_s: float
     finished_retention_s: float
+    cancellation_limit_s: float = 3.0
     undersized: bool = False
 
 
@@ -178,7 +186,9 @@
         self._in_doubt_until_by_key: dict[str, float] = {}
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
-        self.jobs_view = JobsView()
+        self.jobs_view = TopicView()
+        self._own_cancellations = OwnCancellations()
+        self._jobs_read_wanted = False
         self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
@@ -240,7 +250,12 @@
             return None
         if phase.is_final:
             return SubmissionOutcome.ACCEPTED
-        return await self._store(cancellation_item(job_id), deadline)
+        outcome = await self._store(cancellation_item(job_id), deadline)
+        offset = self.table.cancel_offset(job_id)
+        if outcome is SubmissionOutcome.ACCEPTED and offset >= 0:
+            # Also if it was read back after an append without an answer.
+            self._own_cancellations.add(job_id, offset, self._clock.now())
+        return outcome
 
     async def _store(
         self, item: tuple[str, bytes], deadline: float
@@ -299,12 +314,17 @@
     async def _apply_jobs(self, records: list[KeyedRecord], source: JobsSource) -> None:
         changed = self.table.apply_jobs(records)
         await self.appender.confirm(record.key for record in records if record.value)
-        if changed and self._owner:
-            await self._owner.handle_job_changes(changed)
-            self._log_cancellations(changed, source)
+        await self._handle_job_changes(changed, source)
+
+    async def _handle_job_changes(
+        self, job_ids: list[JobId], source: JobsSource
+    ) -> None:
+        if job_ids and self._owner:
+            await self._owner.handle_job_changes(job_ids)
+            self._log_cancellations(job_ids, source)
 
     def _log_cancellations(self, job_ids: list[JobId], source: JobsSource) -> None:
-        age_s = self.jobs_view.age_s(self._clock.now_with_suspensions())
+        age_s = self._clock.now_with_suspensions() - self.jobs_view.complete_at
         for job_id in job_ids:
             entry = self.table.job_by_id[job_id]
             if entry.cancelled:
@@ -320,6 +340,11 @@
     async def on_stored(self, records: list[KeyedRecord]) -> None:
         """Applies records that this entry VM appended and relays them to the owner."""
         await self._apply_appended_jobs(records, JobsSource.OWN_APPEND)
+        for record in records:
+            job_id = cancelled_job_id(record)
+            if job_id is not None:
+                now = self._clock.now()
+                self._own_cancellations.add(job_id, record.offset, now)
         claim = self.claims.current
         if claim and claim.holder != self.vm:
             entries = [LogEntry(r.offset, r.key, r.value) for r in records]
@@ -388,15 +413,25 @@
         self.jobs_view.record_records(records[0].offset, len(records))
         await self._apply_jobs(records, source)
 
+    async def apply_reported_cancellations(self, job_ids: list[JobId]) -> None:
+        """Applies cancellations that another entry VM has stored."""
+        changed = self.table.apply_cancellations(job_ids)
+        await self._handle_job_changes(changed, JobsSource.HELLO)
+
     async def _poll_jobs(self) -> None:
         while True:
             try:
                 await self.read_jobs()
             except LogUnavailable:
                 await curio.sleep(RETRY_DELAY_S)
-            started_at = self._clock.now()
-            while self._clock.now() - started_at < self._jobs_poll_interval():
-                await curio.sleep(RETRY_DELAY_S)
+            self._jobs_read_wanted = False
+            due_at = self._clock.now() + self._jobs_poll_interval()
+            while self._clock.now() < due_at and not self._jobs_read_wanted:
+                await curio.sleep(POLL_STEP_S)
+
+    def read_jobs_soon(self) -> None:
+        """Reads the jobs topic at once instead of at the next poll."""
+        self._jobs_read_wanted = True
 
     def _jobs_poll_interval(self) -> float:
         return OWNER_JOBS_POLL_INTERVAL_S if self._owner else JOBS_POLL_INTERVAL_S
@@ -409,14 +444,21 @@
         while True:
             sent_at = self._clock.now_with_suspensions()
             try:
-                batch = await self.log.read(JOBS_TOPIC, self.jobs_view.offset)
-            except OffsetDeleted:
-                batch = await self.log.newest(JOBS_TOPIC)
+                batch = await self._read_jobs_batch()
+            except LogUnavailable:
+                self.jobs_view.record_failure()
+                raise
             await self._apply_jobs(batch.records, JobsSource.READ)
             self.jobs_view.record_read(batch.next_offset, batch.end, sent_at)
             if self.jobs_view.offset >= batch.end or not batch.records:
                 return
 
+    async def _read_jobs_batch(self) -> LogBatch:
+        try:
+            return await self.log.read(JOBS_TOPIC, self.jobs_view.offset)
+        except OffsetDeleted:
+            return await self.log.newest(JOBS_TOPIC)
+
     async def _poll_progress(self) -> None:
         while True:
             try:
@@ -480,6 +522,7 @@
             heartbeat.epoch if heartbeat else Epoch(0),
             heartbeat.number if heartbeat else 0,
             self._list_version,
+            self._own_cancellations.unknown_to_owner(heartbeat, self._clock.now()),
         )
 
     def own_entry(self) -> EntryVm:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -21,6 +21,7 @@
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.claims import FIRST_EPOCH
 from arbutusladder.cell.confirmation import OwnershipEvidence
+from arbutusladder.cell.freshness import ViewFreshness
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
     OrderAnswer,
@@ -31,7 +32,7 @@
 from arbutusladder.cell.leaserenewer import LeaseRenewer
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.memberregistry import MemberRegistry
-from arbutusladder.cell.placement import Placer
+from arbutusladder.cell.placement import Order, Placer
 from arbutusladder.cell.progresswriter import ProgressBatch, ProgressWriter
 from arbutusladder.cell.pruning import FinishedJobPruner
 from arbutusladder.cell.registry import WorkerRegistry
@@ -163,7 +164,15 @@
             dependencies.settings.registry_topic,
             dependencies.decode_worker,
             dependencies.metrics,
+            dependencies.clock,
+        )
+        self._freshness = ViewFreshness(
+            member.jobs_view,
+            self._worker_registry.view,
+            self.evidence,
+            dependencies.settings.cancellation_limit_s,
         )
+        self._is_view_recent = True
         self._members = MemberRegistry(member.own_entry(), claim.epoch)
         self.advice_dispatcher = AdviceDispatcher(
             member.vm,
@@ -299,6 +308,7 @@
         )
         for state in hello.ended:
             self.state.apply_reported_end(state)
+        await self._member.apply_reported_cancellations(hello.cancelled)
         now = self._clock.now()
         entry = EntryVm(hello.vm, hello.listen, hello.undersized)
         await self._register_member(entry, now)
@@ -333,6 +343,7 @@
                     reaches_log=reaches_log,
                     claim_sequence=sequence,
                     number=self.evidence.next_heartbeat(),
+                    jobs_position=self._member.jobs_view.offset,
                 )
             )
             await self._wait_for_next_heartbeat(now + HEARTBEAT_INTERVAL_S, append_s)
@@ -388,7 +399,7 @@
             expected=usage.expected_s,
             append=self.writer.append_s,
             late=self._max_heartbeat_delay_s,
-            view=self._member.jobs_view.age_s(self._clock.now_with_suspensions()),
+            view=self._view_age_s(),
         )
         self._max_heartbeat_delay_s = 0.0
 
@@ -476,18 +487,45 @@
             self._decisions_needed.clear()
             now = self._clock.now()
             self.state.expire_leases(now)
-            if self.may_give_orders():
-                capacity = self.advice_dispatcher.available_capacity(now)
-                view_age_s = self._member.jobs_view.age_s(
-                    self._clock.now_with_suspensions()
-                )
-                for order in self._placer.decide(now, capacity, view_age_s):
-                    await self._send_order(order)
+            for order in self._decide(now):
+                await self._send_order(order)
             self.state.remove_finished_jobs()
             await self.flush_changes()
 
+    def _decide(self, now: float) -> list[Order]:
+        if self.may_start_tasks():
+            capacity = self.advice_dispatcher.available_capacity(now)
+            return self._placer.decide(now, capacity, self._view_age_s())
+        return self._placer.due_stops(now) if self.may_give_orders() else []
+
+    def may_start_tasks(self) -> bool:
+        """Returns whether the ownership is confirmed and what it knows is recent."""
+        if not self.may_give_orders():
+            return False
+        age_s = self._view_age_s()
+        recent = self._freshness.is_recent(age_s)
+        if not recent:
+            self._member.read_jobs_soon()
+        if recent != self._is_view_recent:
+            self._is_view_recent = recent
+            self._dependencies.metrics.count("owner.view_changes")
+            self._dependencies.journal.write(
+                events.VIEW_RECENT if recent else events.VIEW_OUTDATED,
+                epoch=self.epoch,
+                seconds=age_s,
+                position=self._member.jobs_view.offset,
+            )
+        return recent
+
+    def _view_age_s(self) -> float:
+        return self._freshness.age_s(
+            self._clock.now_with_suspensions(),
+            not self._member.log.forwarding,
+            self._count_other_vms,
+        )
+
     def may_give_orders(self) -> bool:
-        """Returns whether tasks may be started and leases extended now."""
+        """Returns whether leases may be extended and tasks be stopped now."""
         if self.ended:
             return False
         confirmed = self.evidence.is_valid(self._count_other_vms)
@@ -537,7 +575,7 @@
             self._member.table.apply_reported_ends(states)
             await self._broadcast(EndedJobs(states))
 
-    async def _send_order(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
+    async def _send_order(self, order: Order) -> None:
         match order:
             case StartOrder():
                 await curio.spawn(self._send_start, order, daemon=True)
@@ -576,13 +614,13 @@
         return first
 
     async def _start_once(self, order: StartOrder) -> OrderAnswer:
-        """Sends a start order under a lease if this owner may give orders now.
+        """Sends a start order under a lease if this owner may start tasks now.
 
         A silent worker gets no lease, nor does one whose restart is known and that has
         not reported since.
         """
         worker = self.state.worker_by_vm.get(order.vm)
-        if worker is None or not self.may_give_orders():
+        if worker is None or not self.may_start_tasks():
             return OrderAnswer(OrderOutcome.NOT_SENT)
         lease_end = worker.grant_lease(self._clock.now(), self.lease_s)
         if lease_end is None:
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -121,7 +121,7 @@
         Returns:
             The orders: stops first, then the others by the priority of their steps.
         """
-        orders: list[Order] = list(self._due_stops(now))
+        orders: list[Order] = list(self.due_stops(now))
         workers = [
             worker
             for worker in self._cell.worker_by_vm.values()
@@ -171,7 +171,12 @@
                     found.append(stage)
         return sorted(found, key=lambda stage: priority_key(stage, now))
 
-    def _due_stops(self, now: float) -> list[StopOrder]:
+    def due_stops(self, now: float) -> list[StopOrder]:
+        """Returns the stop orders to send now.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
         orders = []
         for worker in self._cell.worker_by_vm.values():
             for run in worker.run_by_key.values():
--- a/arbutusladder/cell/registry.py
+++ b/arbutusladder/cell/registry.py
@@ -8,9 +8,13 @@
 from arbutusladder.cell.interfaces import (
     KeyedLog,
     KeyedRecord,
+    LogBatch,
     OffsetDeleted,
     WorkerEntry,
 )
+from arbutusladder.cell.topicview import TopicView
+from arbutusladder.clock import Clock
+from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import VmId
 from arbutusladder.metrics import Metrics
 
@@ -23,6 +27,10 @@
         topic: Topic of the registry.
         decode: Decodes a record; returns None if it is unusable.
         metrics: Counters.
+        clock: Time of the reads.
+
+    Attributes:
+        view: What is known of the topic.
     """
 
     def __init__(
@@ -31,12 +39,14 @@
         topic: str,
         decode: Callable[[KeyedRecord], WorkerEntry | None],
         metrics: Metrics,
+        clock: Clock,
     ):
         self._log = log
         self._topic = topic
         self._decode = decode
         self._metrics = metrics
-        self._offset = 0
+        self._clock = clock
+        self.view = TopicView()
         self._entry_by_vm: dict[VmId, WorkerEntry] = {}
 
     async def read(self) -> dict[VmId, WorkerEntry]:
@@ -45,13 +55,12 @@
         Raises:
             LogUnavailable: The log refused or did not answer.
         """
+        sent_at = self._clock.now_with_suspensions()
         try:
-            if self._offset == 0:
-                raise OffsetDeleted
-            batch = await self._log.read(self._topic, self._offset)
-        except OffsetDeleted:
-            batch = await self._log.newest(self._topic)
-            self._entry_by_vm.clear()
+            batch = await self._read_batch()
+        except LogUnavailable:
+            self.view.record_failure()
+            raise
         for record in batch.records:
             entry = self._decode(record) if record.value else None
             if entry is None:
@@ -60,5 +69,15 @@
                 self._entry_by_vm.pop(VmId(record.key), None)
             else:
                 self._entry_by_vm[entry.vm] = entry
-        self._offset = batch.next_offset
+        self.view.record_read(batch.next_offset, batch.end, sent_at)
         return self._entry_by_vm
+
+    async def _read_batch(self) -> LogBatch:
+        try:
+            if self.view.offset == 0:
+                raise OffsetDeleted
+            return await self._log.read(self._topic, self.view.offset)
+        except OffsetDeleted:
+            batch = await self._log.newest(self._topic)
+            self._entry_by_vm.clear()
+            return batch
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -27,6 +27,7 @@
     READ = "read"
     OWN_APPEND = "own_append"
     RELAY = "relay"
+    HELLO = "hello"
 
 
 class RunPhase(Enum):
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -105,6 +105,20 @@
     224, Level.INFO, "the ownership with epoch {epoch} is confirmed again"
 )
 
+VIEW_OUTDATED = Event(
+    225,
+    Level.WARNING,
+    "what the owner with epoch {epoch} knows of cancellations and workers is "
+    "{seconds:.1f} s old, with the jobs before {position}; starting no tasks",
+    "check the log service and the connections to the other entry VMs",
+)
+VIEW_RECENT = Event(
+    226,
+    Level.INFO,
+    "what the owner with epoch {epoch} knows is recent again: {seconds:.1f} s old, "
+    "with the jobs before {position}",
+)
+
 # 300 to 399: requests
 ENDPOINT_SUSPECT = Event(
     300,
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -680,6 +680,10 @@
     """
     Version of the newest list of entry VMs that it has; empty without one.
     """
+    cancelled: list[JobId] = field(default_factory=list)
+    """
+    Jobs whose stored cancellations the owner does not know by its newest heartbeat.
+    """
 
 
 @dataclass
@@ -738,6 +742,10 @@
     """
     Number of the heartbeat, increasing within an epoch.
     """
+    jobs_position: int = 0
+    """
+    Offset in the jobs topic before which the owner knows all records.
+    """
 
 
 @dataclass
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -94,6 +94,7 @@
                 REGISTRY_TOPIC,
                 settings.max_lease_s,
                 settings.finished_retention_s,
+                settings.cancellation_limit_s,
                 settings.undersized,
             ),
         )
--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -35,12 +35,15 @@
     """Time limits.
 
     ``max-hold-ms`` is the longest lease that a worker grants, ``grace-s`` the time
-    between SIGTERM and SIGKILL, ``status-s`` the required retention of job states.
+    between SIGTERM and SIGKILL, ``status-s`` the required retention of job states and
+    ``cancel_ms`` the time after an acknowledged cancellation from which no task of the
+    job may start.
     """
 
     max_hold_ms: float = 6000.0
     grace_s: float = 6.0
     status_s: float = 120.0
+    cancel_ms: float = msgspec.field(default=3000.0, name="cancel_ms")
 
 
 class _Store(_Wire):
@@ -82,6 +85,8 @@
         max_lease_s: Longest lease that a worker grants, in seconds.
         grace_s: Seconds between SIGTERM and SIGKILL.
         finished_retention_s: Seconds for which the states of finished jobs are kept.
+        cancellation_limit_s: Seconds after an acknowledged cancellation from which no
+            task of its job may start.
         undersized: Whether this entry VM has too little CPU or bandwidth to own a
             large cell.
     """
@@ -95,6 +100,7 @@
     max_lease_s: float
     grace_s: float
     finished_retention_s: float
+    cancellation_limit_s: float
     undersized: bool
 
 
@@ -126,6 +132,7 @@
         max_lease_s=raw.bounds.max_hold_ms / 1000,
         grace_s=raw.bounds.grace_s,
         finished_retention_s=raw.bounds.status_s * STATUS_RETENTION_FACTOR,
+        cancellation_limit_s=raw.bounds.cancel_ms / 1000,
         undersized=_is_undersized(raw.limits),
     )
 
--- a/tests/cell/test_freshness.py
+++ b/tests/cell/test_freshness.py
@@ -3,20 +3,28 @@
 import curio
 import pytest
 
+from arbutusladder.cell.confirmation import OwnershipEvidence
+from arbutusladder.cell.freshness import ORDER_DELIVERY_S, ViewFreshness
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
     cancellation_key,
     submission_item,
 )
+from arbutusladder.cell.member import OWNER_JOBS_POLL_INTERVAL_S
+from arbutusladder.cell.owncancellations import KEPT_S, OwnCancellations
 from arbutusladder.cell.states import JobPhase, OrderOutcome, SubmissionOutcome
-from arbutusladder.clock import Clock
+from arbutusladder.cell.topicview import TopicView
+from arbutusladder.clock import Clock, ManualClock
+from arbutusladder.httppool import CONNECT_TIMEOUT_S
 from arbutusladder.messages import (
     JobsRelay,
     LogCall,
     MemberHello,
+    OwnerBeat,
     RelayedState,
 )
+from arbutusladder.platform.workers import ORDER_TIMEOUT_S
 from tests.cell import workloads
 from tests.cell.inprocess import InProcessCell
 from tests.cell.test_owner import ScriptedOrders, make_order, make_owner
@@ -183,4 +191,132 @@
         assert len(orders.outcomes) == 3
         view.record_read(0, 0, clock.now_with_suspensions())
         run_in_virtual_time(owner._send_start, make_order(owner, clock, 3))
+        assert len(orders.outcomes) == 3
+        # Workers may have begun to drain as well.
+        owner.registry_view.record_read(0, 0, clock.now_with_suspensions())
+        run_in_virtual_time(owner._send_start, make_order(owner, clock, 4))
         assert len(orders.outcomes) == 2
+
+
+class TestProof:
+    """Patterns: the log is up, slow, down for all or for the owner alone."""
+
+    OTHERS = 4
+
+    def make(self, limit_s=CANCEL_S):
+        """Returns the freshness of a view that was read now, its parts and a clock."""
+        clock = ManualClock()
+        now = clock.now_with_suspensions()
+        evidence = OwnershipEvidence(1, clock, now)
+        jobs, registry = TopicView(complete_at=now), TopicView(complete_at=now)
+        freshness = ViewFreshness(jobs, registry, evidence, limit_s)
+        return freshness, jobs, registry, evidence, clock
+
+    def is_recent(self, freshness, clock, reachable=True, others=OTHERS):
+        """Returns whether tasks may start."""
+        now = clock.now_with_suspensions()
+        return freshness.is_recent(freshness.age_s(now, reachable, lambda: others))
+
+    def test_proof_ends_before_an_order_can_arrive_too_late(self):
+        """Guards against an order that is sent in time and arrives after the limit."""
+        freshness, *_ = self.make()
+        assert freshness.validity_s + ORDER_DELIVERY_S <= CANCEL_S
+        assert ORDER_DELIVERY_S >= CONNECT_TIMEOUT_S + ORDER_TIMEOUT_S
+
+    def test_a_short_limit_leaves_time_for_reads(self):
+        """Guards against a cell that never starts a task."""
+        freshness, *_ = self.make(limit_s=0.5)
+        assert freshness.validity_s > 2 * OWNER_JOBS_POLL_INTERVAL_S
+
+    @pytest.mark.parametrize("topic", ["jobs", "registry"])
+    def test_each_topic_must_have_been_read(self, topic):
+        """Guards against starts after a read that hangs while others are answered."""
+        freshness, jobs, registry, _, clock = self.make()
+        clock.advance(freshness.validity_s + 0.01)
+        read = {"jobs": registry, "registry": jobs}[topic]
+        read.record_read(7, 7, clock.now_with_suspensions())
+        assert not self.is_recent(freshness, clock)
+
+    def test_read_that_does_not_reach_the_end_is_no_proof(self):
+        """Guards against starts while most of a long outage's records are unread."""
+        freshness, jobs, registry, _, clock = self.make()
+        clock.advance(freshness.validity_s + 0.01)
+        now = clock.now_with_suspensions()
+        registry.record_read(7, 7, now)
+        jobs.record_read(500, 900, now)
+        assert not self.is_recent(freshness, clock)
+        jobs.record_read(900, 900, now)
+        assert self.is_recent(freshness, clock)
+
+    def test_majority_is_the_proof_while_the_log_is_down(self):
+        """Guards against a cell that stops in an outage of the log."""
+        freshness, _, _, evidence, clock = self.make()
+        for _ in range(60):
+            clock.advance(0.5)
+            number = evidence.next_heartbeat()
+            for vm in "bc":
+                evidence.confirm_heartbeat(vm, 1, number)
+            assert self.is_recent(freshness, clock, reachable=False)
+
+    def test_minority_is_no_proof(self):
+        """Guards against an owner that is cut off together with one entry VM."""
+        freshness, _, _, evidence, clock = self.make()
+        clock.advance(freshness.validity_s + 0.01)
+        evidence.confirm_heartbeat("b", 1, evidence.next_heartbeat())
+        assert not self.is_recent(freshness, clock, reachable=False)
+
+    def test_entry_vms_are_no_proof_while_the_log_can_be_read(self):
+        """Guards against a cancellation by one that the owner does not hear of."""
+        freshness, _, _, evidence, clock = self.make()
+        clock.advance(freshness.validity_s + 0.01)
+        number = evidence.next_heartbeat()
+        for vm in "bcde":
+            evidence.confirm_heartbeat(vm, 1, number)
+        assert not self.is_recent(freshness, clock)
+
+    def test_reads_have_time_after_an_outage(self):
+        """Guards against a pause of all starts when the log returns."""
+        freshness, _, _, evidence, clock = self.make()
+        clock.advance(5.0)
+        number = evidence.next_heartbeat()
+        for vm in "bc":
+            evidence.confirm_heartbeat(vm, 1, number)
+        assert self.is_recent(freshness, clock, reachable=False)
+        clock.advance(freshness.validity_s / 2)
+        assert self.is_recent(freshness, clock)
+
+    @pytest.mark.parametrize("pause", ["advance", "suspend"])
+    def test_single_entry_vm_goes_on_without_the_log(self, pause):
+        """Guards against a stop of a cell whose only entry VM stores cancellations."""
+        freshness, _, _, evidence, clock = self.make()
+        for _ in range(60):
+            clock.advance(0.5)
+            evidence.is_valid(lambda: 0)
+            assert self.is_recent(freshness, clock, reachable=False, others=0)
+        getattr(clock, pause)(5.0)
+        evidence.is_valid(lambda: 0)
+        assert not self.is_recent(freshness, clock, reachable=False, others=0)
+
+
+class TestOwnCancellations:
+    """Pattern: relays are lost, and the owner changes."""
+
+    def test_repeated_until_the_newest_owner_knows_them(self):
+        """Guards against a cancellation that only a replaced owner has heard of."""
+        cancellations = OwnCancellations()
+        cancellations.add("j", 7, 0.0)
+        assert cancellations.unknown_to_owner(None, 1.0) == ["j"]
+        knowing = OwnerBeat(1, jobs_position=8)
+        assert cancellations.unknown_to_owner(knowing, 2.0) == []
+        successor = OwnerBeat(2, jobs_position=7)
+        assert cancellations.unknown_to_owner(successor, 3.0) == ["j"]
+
+    def test_known_ones_are_forgotten(self):
+        """Guards against hellos that grow, and against forgetting unknown ones."""
+        cancellations = OwnCancellations()
+        cancellations.add("j", 7, 0.0)
+        later = KEPT_S + 1.0
+        behind, knowing = OwnerBeat(1, jobs_position=7), OwnerBeat(1, jobs_position=8)
+        assert cancellations.unknown_to_owner(behind, later) == ["j"]
+        assert cancellations.unknown_to_owner(knowing, later) == []
+        assert cancellations.unknown_to_owner(behind, later) == []
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -10,8 +10,8 @@
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.claims import CLAIM_TIMEOUT_S, FIRST_EPOCH
 from arbutusladder.cell.confirmation import EVIDENCE_VALIDITY_S, OwnershipEvidence
+from arbutusladder.cell.freshness import ViewFreshness
 from arbutusladder.cell.interfaces import OrderAnswer, StartOrder, WorkerReport
-from arbutusladder.cell.jobsview import JobsView
 from arbutusladder.cell.jobtable import JobTable
 from arbutusladder.cell.memberregistry import MemberRegistry
 from arbutusladder.cell.owner import (
@@ -21,6 +21,7 @@
     Owner,
 )
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
+from arbutusladder.cell.topicview import TopicView
 from arbutusladder.cell.workers import CLOCK_RATE_ERROR
 from arbutusladder.clock import Clock, ManualClock
 from arbutusladder.journal import Journal
@@ -29,6 +30,8 @@
 from tests.cell import workloads
 from tests.virtualtime import run_in_virtual_time
 
+# Seconds after a cancellation from which no task of its job may start.
+CANCELLATION_LIMIT_S = 3.0
 # Seconds within which a worker gets an order, or its sender gives it up.
 ORDER_DELIVERY_S = 0.8
 
@@ -54,11 +57,18 @@
 
 
 class StubMember:
-    """Stands in for the entry VM of an owner; it has read the jobs, and sends nothing."""
+    """Stands in for the entry VM of an owner, which sends nothing.
+
+    It reads the jobs and the workers all the time, unless a test changes the views.
+    """
 
     def __init__(self, clock):
         self.peers = self
-        self.jobs_view = JobsView(complete_at=clock.now_with_suspensions())
+        self.log = SimpleNamespace(forwarding=False)
+        self.jobs_view = TopicView(complete_at=clock.now_with_suspensions())
+
+    def read_jobs_soon(self):
+        """Reads nothing."""
 
     def apply_relay(self, relay):
         """Drops a relay of progress."""
@@ -113,6 +123,14 @@
         owner._members.add(EntryVm(vm, f"{vm}:1"), clock.now())
     owner._is_confirmed = True
     owner.evidence = OwnershipEvidence(1, clock, clock.now_with_suspensions())
+    owner.registry_view = TopicView(complete_at=clock.now_with_suspensions())
+    owner._freshness = ViewFreshness(
+        owner._member.jobs_view,
+        owner.registry_view,
+        owner.evidence,
+        CANCELLATION_LIMIT_S,
+    )
+    owner._is_view_recent = True
     owner.state = CellState(0.0, lambda task: None)
     entry = workloads.workers()[0]
     owner.state.recorded_vms = frozenset({entry.vm})
--- a/tests/cell/test_registry.py
+++ b/tests/cell/test_registry.py
@@ -6,6 +6,7 @@
 from arbutusladder.cell.interfaces import WorkerReport
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.states import JobPhase, RunPhase
+from arbutusladder.clock import Clock
 from arbutusladder.messages import JobProgress
 from arbutusladder.metrics import Metrics
 from tests.cell import workloads
@@ -47,7 +48,11 @@
         async def main():
             log = MemoryLog()
             registry = WorkerRegistry(
-                log, TOPIC, lambda record: entry_by_key.get(record.key), metrics
+                log,
+                TOPIC,
+                lambda record: entry_by_key.get(record.key),
+                metrics,
+                Clock(),
             )
             await log.append(TOPIC, [("w-000", b"{}"), ("x-1", b"?")])
             assert await registry.read() == {ENTRY.vm: ENTRY}
