Store the cancellation of a job whose end was only announced

While the log is slow the owner announces ends that it has not stored. An end that an entry VM reported during a takeover was dropped, because no job is tracked yet.

An acknowledgement now needs the cancellation or the end on the log, and reported ends go to the job table, which the end of the takeover applies.

--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -248,7 +248,7 @@
         phase = await self.lookup(job_id)
         if phase is None:
             return None
-        if phase.is_final:
+        if self.table.is_cancellation_stored(job_id):
             return SubmissionOutcome.ACCEPTED
         outcome = await self._store(cancellation_item(job_id), deadline)
         offset = self.table.cancel_offset(job_id)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -306,6 +306,8 @@
         self.evidence.confirm_heartbeat(
             hello.vm, hello.heartbeat_epoch, hello.heartbeat_number
         )
+        # Jobs are tracked from the end of the takeover on; the table keeps their ends.
+        self._member.table.apply_reported_ends(hello.ended)
         for state in hello.ended:
             self.state.apply_reported_end(state)
         await self._member.apply_reported_cancellations(hello.cancelled)
