Read the retention of job states under its name

The platform's settings name it status_s, with an underscore; status-s was never found, so the default of 120 s held. Deployments in force set 120, so nothing changed for them. The test failed before with 30.

--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -35,14 +35,14 @@
     """Time limits.
 
     ``max-hold-ms`` is the longest lease that a worker grants, ``grace-s`` the time
-    between SIGTERM and SIGKILL, ``status-s`` the required retention of job states and
+    between SIGTERM and SIGKILL, ``status_s`` the required retention of job states and
     ``cancel_ms`` the time after an acknowledged cancellation from which no task of the
     job may start.
     """
 
     max_hold_ms: float = 6000.0
     grace_s: float = 6.0
-    status_s: float = 120.0
+    status_s: float = msgspec.field(default=120.0, name="status_s")
     cancel_ms: float = msgspec.field(default=3000.0, name="cancel_ms")
 
 
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -6,6 +6,7 @@
 import pytest
 
 from arbutusladder.platform import check
+from arbutusladder.platform.settings import STATUS_RETENTION_FACTOR, load_settings
 
 ROOT = Path(__file__).parent.parent.parent
 SETTINGS = {
@@ -33,6 +34,16 @@
         path.write_text(json.dumps(settings))
         return check.main([str(path)])
 
+    def test_time_limits_are_read(self, tmp_path):
+        """Guards against names of the platform that differ from those expected."""
+        path = tmp_path / "settings.json"
+        bounds = {"status_s": 30, "cancel_ms": 4500, "max-hold-ms": 5000}
+        path.write_text(json.dumps(settings_with(bounds=bounds)))
+        settings = load_settings(str(path))
+        assert settings.finished_retention_s == 30 * STATUS_RETENTION_FACTOR
+        assert settings.cancellation_limit_s == 4.5
+        assert settings.max_lease_s == 5.0
+
     def test_valid_settings_pass(self, tmp_path, capsys):
         assert self.run_check(tmp_path, SETTINGS) == 0
         assert self.run_check(tmp_path, settings_with(advice="")) == 0
