Ignore heartbeats of an owner whose successor was heard

An entry VM that could not read the log compared heartbeats only with the claim it had read, so it took those of an owner and of its successor in turn, and its hellos went on confirming the replaced owner.

--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -126,7 +126,7 @@
         ends an ownership of this entry VM even if the log does not answer it.
         """
         claim = self._view.claim
-        if claim and heartbeat.epoch < claim.epoch:
+        if heartbeat.epoch < self._view.newest_epoch:
             return
         if self.owner and heartbeat.epoch > self.owner.epoch:
             await self.owner.end_ownership("another entry VM has a higher epoch")
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -101,6 +101,13 @@
         if heartbeat.released:
             self.released_epoch = heartbeat.epoch
 
+    @property
+    def newest_epoch(self) -> Epoch:
+        """Highest epoch of a claim or a heartbeat; 0 before the first."""
+        claimed = self.claim.epoch if self.claim else Epoch(0)
+        heard = self.heartbeat.epoch if self.heartbeat else Epoch(0)
+        return max(claimed, heard)
+
     def holds(self, epoch: Epoch) -> bool:
         """Returns whether this entry VM holds the claim of an epoch."""
         claim = self.claim
--- a/tests/cell/test_claimmanager.py
+++ b/tests/cell/test_claimmanager.py
@@ -5,6 +5,7 @@
 
 import curio
 import msgspec
+import pytest
 
 from arbutusladder.cell.claimmanager import ClaimManager
 from arbutusladder.cell.claims import (
@@ -307,3 +308,21 @@
             assert owner.recorded == frozenset({"w-2"}) == await read_workers(log)
 
         run_in_virtual_time(main)
+
+
+class TestTwoOwnersHeard:
+    """Pattern: an entry VM that cannot read the log hears two owners in turn."""
+
+    def test_heartbeat_of_a_replaced_owner_does_not_count(self):
+        """Guards against hellos that confirm an owner after its successor was heard."""
+
+        async def main():
+            log = MemoryLog()
+            await log.append(OWNER_TOPIC, [claim_item(CellClaim(5, "a", "a:1", 0))])
+            manager = make_manager(log, vm="b")
+            await manager.load()
+            await manager.handle_heartbeat(OwnerBeat(6, number=1))
+            await manager.handle_heartbeat(OwnerBeat(5, number=70))
+            return manager.newest_heartbeat.epoch
+
+        assert run_in_virtual_time(main) == 6
--- /dev/null
+++ b/tests/cell/test_replacedowner.py
@@ -0,0 +1,85 @@
+"""Tests of an owner and its successor that both reach an entry VM and a worker."""
+
+import curio
+
+from arbutusladder.cell.interfaces import OrderAnswer
+from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.clock import Clock
+from tests.cell import workloads
+from tests.cell.inprocess import InProcessCell
+from tests.cell.test_freshness import submit
+from tests.virtualtime import run_in_virtual_time
+
+
+def cut_workers(workers, old_epoch, used_vm):
+    """Lets an old owner reach only the worker in use, and its successor the others.
+
+    Returns a list, to which the times of the old owner's leases are added.
+    """
+    renew, start, leases = workers.renew, workers.start, []
+
+    def is_cut(worker, epoch):
+        return (epoch == old_epoch) != (worker.vm == used_vm)
+
+    async def cut_renew(worker, epoch, acknowledged, until, wait):
+        if is_cut(worker, epoch):
+            await curio.sleep(0.5)
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        if epoch == old_epoch and until is not None:
+            leases.append(Clock().now())
+        return await renew(worker, epoch, acknowledged, until, wait)
+
+    async def cut_start(worker, order, epoch, until):
+        if is_cut(worker, epoch):
+            return OrderAnswer(OrderOutcome.NOT_SENT)
+        return await start(worker, order, epoch, until)
+
+    workers.renew, workers.start = cut_renew, cut_start
+    return leases
+
+
+class TestTwoOwnersHeard:
+    """Pattern: an entry VM that cannot read the log hears two owners in turn."""
+
+    async def play(self):
+        """Returns the starts of a task that takes longer than this, and both owners.
+
+        The log answers only c, which claims. The link between a and c is cut, and what
+        b sends to c is lost. Each of the two owners reaches one of the two workers.
+        """
+        cell = InProcessCell(task_s=60.0)
+        await cell.start()
+        first = cell.owner_vm
+        helper, successor = cell.other_vms()
+        owner = cell.member_by_vm[first].claims.owner
+        record = workloads.quote(1, count=1, cpu=60.0)
+        await submit(cell.member_by_vm[first], record)
+        await curio.sleep(1.0)
+        ((_, used_vm, _),) = cell.workers.starts
+        for vm in (first, helper):
+            cell.access_by_vm[vm].cut = True
+        cell.bus.drops.append(
+            lambda sender, seat, message: (
+                {sender, seat} == {first, successor}
+                or (sender, seat) == (helper, successor)
+            )
+        )
+        leases = cut_workers(cell.workers, owner.epoch, used_vm)
+        allowed_at, begun_at = [], Clock().now()
+        while Clock().now() < begun_at + 20.0:
+            await curio.sleep(0.1)
+            if owner.may_start_tasks():
+                allowed_at.append(Clock().now() - begun_at)
+        running = [
+            vm
+            for vm, runs in cell.workers._running_by_vm.items()
+            if any(task.startswith(record.job_id) for task, _ in runs)
+        ]
+        await cell.stop()
+        return cell.workers.starts, running, max(allowed_at), leases
+
+    def test_task_does_not_run_twice(self):
+        """Guards against an owner that is confirmed after its successor was heard."""
+        starts, running, allowed_s, leases = run_in_virtual_time(self.play)
+        # Successors wait for the leases of a predecessor, here of 5 s.
+        assert leases[-1] + 5.0 < starts[-1][0]
