Count the evidence of a repeated renewal from its first attempt

A renewal without an answer may be stored, and a successor counts its 1.1 s from that. The repeated renewal found itself stored and counted from the repetition, so the evidence outlasted the claim by up to the time between the two. The test failed before.

--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -69,6 +69,8 @@
         self._last_heartbeat_at = -math.inf
         self._poll_now = False
         self._backoff_until = 0.0
+        self._renewal: CellClaim | None = None
+        self._renewal_sent_at = 0.0
         self._owner_task: curio.Task | None = None
         self.owner: Owner | None = None
 
@@ -244,9 +246,13 @@
             return
         claim = self._renewed_claim(owner)
         workers = owner.workers_to_record()
-        sent_at = self._clock.now_with_suspensions()
+        if claim != self._renewal:
+            # A renewal without an answer may be stored, and successors count from then.
+            self._renewal = claim
+            self._renewal_sent_at = self._clock.now_with_suspensions()
         changed = workers if workers != self._view.workers else None
         if await self._append(claim, changed):
+            sent_at = self._renewal_sent_at
             owner.handle_claim_renewed(claim, self._view.workers, sent_at)
         else:
             self._poll_now = True
--- a/tests/cell/test_claimmanager.py
+++ b/tests/cell/test_claimmanager.py
@@ -326,3 +326,29 @@
             return manager.newest_heartbeat.epoch
 
         assert run_in_virtual_time(main) == 6
+
+
+class TestLateRenewal:
+    """Pattern: a renewal is stored without an answer and repeated unchanged."""
+
+    def test_evidence_counts_from_the_stored_attempt(self):
+        """Guards against evidence that outlasts the 1.1 s which a successor waits."""
+
+        async def main():
+            log, owner = MemoryLog(), StubOwner()
+            manager = await make_owning_manager(log, owner)
+            confirmed_at = []
+
+            def handle_claim_renewed(claim, recorded_vms, sent_at):
+                confirmed_at.append(sent_at)
+
+            owner.handle_claim_renewed = handle_claim_renewed
+            log.lost_answers = 1
+            with pytest.raises(LogUnavailable):
+                await manager._renew()
+            stored_at = Clock().now_with_suspensions()
+            await curio.sleep(0.9)
+            await manager._renew()
+            return confirmed_at[-1] - stored_at
+
+        assert run_in_virtual_time(main) <= 0.0
