Let no isolated owner take itself for the whole cell

An owner cut off from the log and from all entry VMs forgot them after 30 s, counted none, and then needed no evidence: it started tasks again that a successor had finished, on workers that only it reached.

The count of other entry VMs stays at 1 at least once one has announced itself. An owner that never heard of another goes on as before. The test failed before.

--- a/arbutusladder/cell/memberregistry.py
+++ b/arbutusladder/cell/memberregistry.py
@@ -50,11 +50,16 @@
     def count(self, now: float) -> int:
         """Returns the number of entry VMs of the cell, without the owner.
 
+        It is at least 1 once another one has announced itself: an owner that hears
+        nobody must not take itself for the whole cell.
+
         Args:
             now: Monotonic time in seconds.
         """
         oldest = now - MEMBERSHIP_TIMEOUT_S
-        return sum(row.hello_at > oldest for row in self._member_by_vm.values())
+        members = self._member_by_vm.values()
+        count = sum(row.hello_at > oldest for row in members)
+        return max(count, min(1, len(members)))
 
     def add(self, entry: EntryVm, now: float) -> None:
         """Adds an entry VM or records that it is active.
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -346,6 +346,21 @@
     def in_flight_s(self, now):
         """Returns 0: this entry VM stores no job."""
         return 0.0
+class TestIsolatedOwner:
+    """Pattern: an owner is cut off from the log and all entry VMs, not from workers."""
+
+    def test_owner_does_not_take_itself_for_the_whole_cell(self):
+        """Guards against starts by a replaced owner once its members have timed out."""
+        owner, clock = make_owner(["b", "c"], ScriptedOrders(OrderOutcome.ACCEPTED))
+        owner._member.log.forwarding = True
+        allowed_at = []
+        for step in range(100):
+            clock.advance(0.5)
+            if owner.may_start_tasks():
+                allowed_at.append(step * 0.5)
+        assert [at for at in allowed_at if at > 3.0] == []
+
+
 
 
 class TestSlowLog:
