Read the progress since the first page at a takeover

Pages of the newest records may have been read up to 8 s before the claim. Relays carry job states without finished steps, but moved the position past the records in between, so a successor did not know finished tasks and started them again (TWICE).

The takeover reads on from the end that the first page gave, whatever was relayed.

--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -483,10 +483,14 @@
                 return
 
     async def reload_progress(self) -> None:
-        """Reads the complete progress; the owner relays only job states."""
+        """Reads the complete progress; the owner relays only job states.
+
+        Pages of the newest records may have been read seconds before the call, so the
+        records since then are read whatever was relayed.
+        """
         batch = await self.log.newest(PROGRESS_TOPIC)
         self.table.apply_progress(batch.records)
-        self._progress_position.record_read(batch.next_offset)
+        self._progress_position.restart(batch.next_offset)
         await self.read_progress()
 
     def apply_relay(self, relay: ProgressRelay) -> None:
--- a/arbutusladder/cell/progressposition.py
+++ b/arbutusladder/cell/progressposition.py
@@ -24,6 +24,11 @@
         self.offset = max(self.offset, next_offset)
         self._skip_relayed()
 
+    def restart(self, offset: int) -> None:
+        """Requires all records from an offset on to be read, also relayed ones."""
+        self.offset = offset
+        self._relayed_from = self._relayed_to = 0
+
     def record_relay(self, offset: int, count: int) -> None:
         """Records the relay of a number of records from an offset on.
 
