Let a cancelled read serve none of its callers

A shared read whose task was cancelled, as the renewal tasks of an owner that ends are, counted as made: a caller who waited for it got 410 for a stored job, and a takeover could go on without a read.

--- a/arbutusladder/cell/sharedread.py
+++ b/arbutusladder/cell/sharedread.py
@@ -46,6 +46,7 @@
                 await self._read()
             except self._shared_error as error:
                 self._error = error
-                raise
-            finally:
                 self._ended = number
+                raise
+            # A read that was cancelled or failed otherwise serves nobody.
+            self._ended = number
--- a/tests/cell/test_sharedread.py
+++ b/tests/cell/test_sharedread.py
@@ -101,3 +101,41 @@
 
         run_in_virtual_time(main)
         assert reader.begun == 2
+
+
+class TestCancelledSharedRead:
+    """Pattern: the renewal tasks of an owner that ends are cancelled during a read."""
+
+    def test_waiting_caller_gets_its_own_read(self):
+        """Guards against 410 for a stored job, because no read was made."""
+
+        async def main():
+            ended, may_end = [], [curio.Event() for _ in range(3)]
+            begun = []
+
+            async def read():
+                number = len(begun)
+                begun.append(number)
+                await may_end[number].wait()
+                ended.append(number)
+
+            shared = SharedRead(read, LogUnavailable)
+            poll = await curio.spawn(shared.run)
+            await curio.sleep(0.1)
+            renewal = await curio.spawn(shared.run)
+            await curio.sleep(0.1)
+            lookup = await curio.spawn(shared.run)
+            await curio.sleep(0.1)
+            await may_end[0].set()
+            await poll.join()
+            await curio.sleep(0.1)
+            await renewal.cancel()
+            await may_end[1].set()
+            await may_end[2].set()
+            await lookup.join()
+            return begun, ended
+
+        begun, ended = run_in_virtual_time(main)
+        # The second read, which the lookup waits for as well, was cancelled.
+        assert begun == [0, 1, 2]
+        assert ended == [0, 2]
