Keep an announced end until its submission is read

An entry VM that had not read the submission dropped the announced end, so as a successor it would have run a job that callers saw as completed.

--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -187,10 +187,13 @@
                 self._update_indexes(state.job_id, job)
 
     def apply_reported_ends(self, states: list[RelayedState]) -> None:
-        """Applies final states that the owner has not stored yet."""
+        """Applies final states that the owner has not stored yet.
+
+        The submissions of the jobs may not have been read yet.
+        """
         for state in states:
-            job = self.job_by_id.get(state.job_id)
-            if job is None or job.progress.state.is_final:
+            job = self.job_by_id.setdefault(state.job_id, JobEntry())
+            if job.progress.state.is_final:
                 continue
             job.reported_end = state.state
             self._reported_ids.add(state.job_id)
@@ -222,6 +225,7 @@
 
     def has_jobs_of_tasks(self, tasks: list[str]) -> bool:
         """Returns whether the job of each named task was read or is finished."""
+            if self.job_by_id[job_id].record
         return all(self._is_known(task) for task in tasks)
 
     def _is_known(self, task: str) -> bool:
--- a/tests/cell/test_jobtable.py
+++ b/tests/cell/test_jobtable.py
@@ -2,10 +2,19 @@
 
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import KeyedRecord
-from arbutusladder.cell.jobtable import JobTable, progress_item, submission_item
+from arbutusladder.cell.jobtable import (
+    JOBS_TOPIC,
+    PROGRESS_TOPIC,
+    JobTable,
+    progress_item,
+    submission_item,
+)
+from arbutusladder.cell.retention import progress_tombstones, submission_tombstones
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.messages import JobProgress, RelayedState, StageProgress
 from tests.cell import workloads
+from tests.cell.memorylog import MemoryLog
+from tests.virtualtime import run_in_virtual_time
 
 NOW = 100.0
 RECORD = workloads.quote(1)
@@ -94,3 +103,14 @@
         item = progress_item(RECORD.job_id, JobProgress(JobPhase.RUNNING, stages))
         table.apply_progress([KeyedRecord(7, *item)])
         assert table.job_by_id[RECORD.job_id].progress.stages == stages
+
+
+class TestEndBeforeSubmission:
+    """Pattern: an end is announced to an entry VM that has not read the job yet."""
+
+    def test_announced_end_is_kept(self):
+        """Guards against a successor that runs a job which callers saw as completed."""
+        table, record = JobTable(), workloads.quote(1)
+        table.apply_reported_ends([RelayedState(record.job_id, JobPhase.COMPLETED)])
+        table.apply_jobs([KeyedRecord(0, *submission_item(record))])
+        assert table.phase(record.job_id) is JobPhase.COMPLETED
