Discard jobs whose submissions were deleted meanwhile

When the position in the jobs topic is lost, submissions that the newest records do not contain are discarded, except those from the end on that the first page gave.

--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from arbutusladder.cell.interfaces import KeyedRecord
+from arbutusladder.cell.interfaces import KeyedRecord, LogBatch
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.cell.tasknames import parse_task_name
 from arbutusladder.ids import JobId
@@ -39,6 +39,7 @@
     Attributes:
         record: The submission; None if only other records were read, or if the
             submission of a finished job was deleted.
+        record_offset: Offset of the submission; -1 before it.
         progress: Newest known progress.
         progress_offset: Offset of the record with that progress; -1 before the first.
         cancelled: Whether a cancellation is stored.
@@ -47,6 +48,7 @@
     """
 
     record: SubmittedJob | None = None
+    record_offset: int = -1
     progress: JobProgress = field(default_factory=lambda: JobProgress(JobPhase.QUEUED))
     progress_offset: int = -1
     cancelled: bool = False
@@ -134,6 +136,25 @@
             self._update_indexes(job_id, job)
         return changed
 
+    def discard_deleted(self, newest: LogBatch) -> None:
+        """Discards submissions that the newest records no longer contain.
+
+        Submissions are deleted after the ends of their jobs are stored. An entry VM
+        that was away for longer than the records are kept has missed all of that.
+
+        Args:
+            newest: Newest record of each key of the jobs topic. Records from its
+                ``next_offset`` on may be missing.
+        """
+        kept = {record.key for record in newest.records}
+        for job_id, job in list(self.job_by_id.items()):
+            if job_id in kept or not 0 <= job.record_offset < newest.next_offset:
+                continue
+            if job.progress.state.is_final:
+                job.record = None
+            else:
+                self._forget(job_id)
+
     def apply_cancellations(self, job_ids: list[JobId]) -> list[JobId]:
         """Applies stored cancellations whose records were not read yet.
 
@@ -204,6 +225,7 @@
         return [
             RelayedState(job_id, self.job_by_id[job_id].reported_end)
             for job_id in self._reported_ids
+            if self.job_by_id[job_id].record
         ]
 
     def phase(self, job_id: JobId) -> JobPhase | None:
@@ -225,7 +247,6 @@
 
     def has_jobs_of_tasks(self, tasks: list[str]) -> bool:
         """Returns whether the job of each named task was read or is finished."""
-            if self.job_by_id[job_id].record
         return all(self._is_known(task) for task in tasks)
 
     def _is_known(self, task: str) -> bool:
@@ -255,6 +276,7 @@
         except msgspec.MsgspecError:
             self.malformed += 1
             return False
+        job.record_offset = record.offset
         return True
 
     def _discard_submission(self, job_id: JobId) -> None:
@@ -265,9 +287,15 @@
     def _delete_job(self, job_id: JobId, offset: int) -> None:
         job = self.job_by_id.get(job_id)
         if job and job.phase.is_final and offset > job.progress_offset:
-            del self.job_by_id[job_id]
-            self.final_ids.pop(job_id, None)
-            self._reported_ids.discard(job_id)
+            self._forget(job_id)
+
+    def _forget(self, job_id: JobId) -> None:
+        job = self.job_by_id.pop(job_id)
+        self.final_ids.pop(job_id, None)
+        self._reported_ids.discard(job_id)
+        if job.record:
+            queue = job.record.queue.name
+            self._waiting_ids_by_queue.get(queue, set()).discard(job_id)
 
     def _update_indexes(self, job_id: JobId, job: JobEntry) -> None:
         if job.progress.state.is_final:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -457,7 +457,9 @@
         try:
             return await self.log.read(JOBS_TOPIC, self.jobs_view.offset)
         except OffsetDeleted:
-            return await self.log.newest(JOBS_TOPIC)
+            batch = await self.log.newest(JOBS_TOPIC)
+            self.table.discard_deleted(batch)
+            return batch
 
     async def _poll_progress(self) -> None:
         while True:
--- a/tests/cell/test_jobtable.py
+++ b/tests/cell/test_jobtable.py
@@ -105,6 +105,41 @@
         assert table.job_by_id[RECORD.job_id].progress.stages == stages
 
 
+class TestPrunedWhileAway:
+    """Pattern: an entry VM misses the records of an end and of its deletion."""
+
+    def test_deleted_jobs_do_not_run_again(self):
+        """Guards against an owner that runs a job which was finished and deleted.
+
+        Records of topics expire; the newest records omit deleted keys.
+        """
+
+        async def main():
+            log = MemoryLog()
+            record = workloads.quote(1)
+            await log.append(JOBS_TOPIC, [submission_item(record)])
+            running = progress_item(record.job_id, JobProgress(JobPhase.RUNNING))
+            await log.append(PROGRESS_TOPIC, [running])
+            table = JobTable()
+            table.apply_jobs((await log.newest(JOBS_TOPIC)).records)
+            table.apply_progress((await log.newest(PROGRESS_TOPIC)).records)
+            # While this entry VM is paused or cut off.
+            ended = progress_item(record.job_id, JobProgress(JobPhase.COMPLETED))
+            await log.append(PROGRESS_TOPIC, [ended])
+            await log.append(JOBS_TOPIC, submission_tombstones([record.job_id]))
+            await log.append(PROGRESS_TOPIC, progress_tombstones([record.job_id]))
+            # Its position is deleted, so it reads the newest records.
+            newest = await log.newest(JOBS_TOPIC)
+            table.discard_deleted(newest)
+            table.apply_jobs(newest.records)
+            table.apply_progress((await log.newest(PROGRESS_TOPIC)).records)
+            entry = table.job_by_id.get(record.job_id)
+            # The condition of `Owner._track_job`.
+            return entry and entry.record and not entry.progress.state.is_final
+
+        assert not run_in_virtual_time(main)
+
+
 class TestEndBeforeSubmission:
     """Pattern: an end is announced to an entry VM that has not read the job yet."""
 
