Repeat every stored cancellation that the owner does not know

A hello named only the cancellations that its sender had stored itself in this life. If the storing entry VM ended, and the client got its answer from another one, or from the restarted one, nobody repeated it, and a task of the job started 4.25 s after the acknowledgement while the owner's reads hung.

A hello now names each cancellation that its sender has read, relayed or stored from the owner's position on.

--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -38,11 +38,11 @@
     submission_item,
 )
 from arbutusladder.cell.logretry import retry_until_answered
-from arbutusladder.cell.owncancellations import OwnCancellations
 from arbutusladder.cell.owner import Owner
 from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.cell.states import JobPhase, JobsSource, SubmissionOutcome
+from arbutusladder.cell.storedcancellations import StoredCancellations
 from arbutusladder.cell.topicview import TopicView
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -187,7 +187,7 @@
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
         self.jobs_view = TopicView()
-        self._own_cancellations = OwnCancellations()
+        self._stored_cancellations = StoredCancellations()
         self._jobs_read_wanted = False
         self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
@@ -250,12 +250,7 @@
             return None
         if self.table.is_cancellation_stored(job_id):
             return SubmissionOutcome.ACCEPTED
-        outcome = await self._store(cancellation_item(job_id), deadline)
-        offset = self.table.cancel_offset(job_id)
-        if outcome is SubmissionOutcome.ACCEPTED and offset >= 0:
-            # Also if it was read back after an append without an answer.
-            self._own_cancellations.add(job_id, offset, self._clock.now())
-        return outcome
+        return await self._store(cancellation_item(job_id), deadline)
 
     async def _store(
         self, item: tuple[str, bytes], deadline: float
@@ -318,6 +313,11 @@
 
     async def _handle_job_changes(
         self, job_ids: list[JobId], source: JobsSource
+        now = self._clock.now()
+        for record in records:
+            job_id = cancelled_job_id(record)
+            if job_id is not None:
+                self._stored_cancellations.add(job_id, record.offset, now)
     ) -> None:
         if job_ids and self._owner:
             await self._owner.handle_job_changes(job_ids)
@@ -340,11 +340,6 @@
     async def on_stored(self, records: list[KeyedRecord]) -> None:
         """Applies records that this entry VM appended and relays them to the owner."""
         await self._apply_appended_jobs(records, JobsSource.OWN_APPEND)
-        for record in records:
-            job_id = cancelled_job_id(record)
-            if job_id is not None:
-                now = self._clock.now()
-                self._own_cancellations.add(job_id, record.offset, now)
         claim = self.claims.current
         if claim and claim.holder != self.vm:
             entries = [LogEntry(r.offset, r.key, r.value) for r in records]
@@ -528,7 +523,7 @@
             heartbeat.epoch if heartbeat else Epoch(0),
             heartbeat.number if heartbeat else 0,
             self._list_version,
-            self._own_cancellations.unknown_to_owner(heartbeat, self._clock.now()),
+            self._stored_cancellations.unknown_to_owner(heartbeat, self._clock.now()),
         )
 
     def own_entry(self) -> EntryVm:
--- a/arbutusladder/cell/owncancellations.py
+++ b/arbutusladder/cell/storedcancellations.py
@@ -1,8 +1,8 @@
-"""Cancellations that an entry VM has stored, until the owner knows them.
+"""Cancellations that an entry VM knows to be stored, until the owner knows them too.
 
-The relay of a stored cancellation may be lost, or sent to an owner that was replaced.
-So each hello repeats the cancellations that the newest owner's position in the jobs
-topic does not cover.
+The relay of a stored cancellation may be lost, or sent to an owner that was replaced,
+and the entry VM that stored it may restart. So each entry VM repeats in its hellos all
+cancellations that the newest owner's position in the jobs topic does not cover.
 """
 
 from arbutusladder.ids import JobId
@@ -13,8 +13,8 @@
 KEPT_S = 15.0
 
 
-class OwnCancellations:
-    """Remembers the records of the cancellations that this entry VM has stored."""
+class StoredCancellations:
+    """Remembers the records of cancellations."""
 
     def __init__(self):
         self._record_by_job: dict[JobId, tuple[int, float]] = {}
--- a/tests/cell/test_freshness.py
+++ b/tests/cell/test_freshness.py
@@ -8,11 +8,12 @@
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
+    cancellation_item,
     cancellation_key,
     submission_item,
 )
 from arbutusladder.cell.member import OWNER_JOBS_POLL_INTERVAL_S
-from arbutusladder.cell.owncancellations import KEPT_S, OwnCancellations
+from arbutusladder.cell.storedcancellations import KEPT_S, StoredCancellations
 from arbutusladder.cell.states import JobPhase, OrderOutcome, SubmissionOutcome
 from arbutusladder.cell.topicview import TopicView
 from arbutusladder.clock import Clock, ManualClock
@@ -298,12 +299,12 @@
         assert not self.is_recent(freshness, clock, reachable=False, others=0)
 
 
-class TestOwnCancellations:
+class TestStoredCancellations:
     """Pattern: relays are lost, and the owner changes."""
 
     def test_repeated_until_the_newest_owner_knows_them(self):
         """Guards against a cancellation that only a replaced owner has heard of."""
-        cancellations = OwnCancellations()
+        cancellations = StoredCancellations()
         cancellations.add("j", 7, 0.0)
         assert cancellations.unknown_to_owner(None, 1.0) == ["j"]
         knowing = OwnerBeat(1, jobs_position=8)
@@ -313,10 +314,84 @@
 
     def test_known_ones_are_forgotten(self):
         """Guards against hellos that grow, and against forgetting unknown ones."""
-        cancellations = OwnCancellations()
+        cancellations = StoredCancellations()
         cancellations.add("j", 7, 0.0)
         later = KEPT_S + 1.0
         behind, knowing = OwnerBeat(1, jobs_position=7), OwnerBeat(1, jobs_position=8)
         assert cancellations.unknown_to_owner(behind, later) == ["j"]
         assert cancellations.unknown_to_owner(knowing, later) == []
         assert cancellations.unknown_to_owner(behind, later) == []
+
+
+class TestRepeatedCancellation:
+    """Pattern: the entry VM that stored a cancellation ended; the client repeats it."""
+
+    async def play(self):
+        """Returns the late starts of a job that a second entry VM says is cancelled."""
+        cell = InProcessCell(task_s=CANCEL_S + 1.5)
+        await cell.start()
+        owner = cell.member_by_vm[cell.owner_vm]
+        other = cell.member_by_vm[cell.other_vms()[0]]
+        jobs = [workloads.quote(number, count=1, cpu=60.0) for number in range(1, 4)]
+        for job in jobs:
+            await submit(owner, job)
+            await curio.sleep(0.1)
+        await other.read_jobs()
+        cell.access_by_vm[cell.owner_vm].silent_topics.add(JOBS_TOPIC)
+        cell.bus.drops += [lose_relays, lose_forwarded_reads]
+        # Appended by an entry VM that ended before it answered and relayed.
+        await cell.log.append(JOBS_TOPIC, [cancellation_item(jobs[2].job_id)])
+        await other.read_jobs()
+        cancelled_at = await cancel(other, jobs[2])
+        await curio.sleep(FAULT_S)
+        await cell.stop()
+        return [
+            at - cancelled_at
+            for at, _, task in cell.workers.starts
+            if task.startswith(jobs[2].job_id) and at > cancelled_at + CANCEL_S
+        ]
+
+    def test_no_task_of_the_job_starts(self):
+        """Guards against hellos without a cancellation that this entry VM confirmed."""
+        assert run_in_virtual_time(self.play) == []
+
+
+class TestRestartAfterCancellation:
+    """Pattern: an entry VM restarts before its next hello after a cancellation."""
+
+    async def play(self):
+        """Returns the late starts of the cancelled job."""
+        cell = InProcessCell(task_s=CANCEL_S + 1.5)
+        await cell.start()
+        owner = cell.member_by_vm[cell.owner_vm]
+        vm = cell.other_vms()[0]
+        jobs = [workloads.quote(number, count=1, cpu=60.0) for number in range(1, 4)]
+        for job in jobs:
+            await submit(owner, job)
+            await curio.sleep(0.1)
+        await cell.member_by_vm[vm].read_jobs()
+        cell.access_by_vm[cell.owner_vm].silent_topics.add(JOBS_TOPIC)
+        cell.bus.drops += [lose_relays, lose_forwarded_reads]
+        cell.bus.drops.append(lambda sender, seat, message: sender == vm)
+        cancelled_at = await cancel(cell.member_by_vm[vm], jobs[2])
+        await cell.member_by_vm[vm].close()
+        await cell._tasks[list(cell.access_by_vm).index(vm)].cancel()
+        cell.bus.drops.pop()
+        restarted = cell._make_member(vm, cell.access_by_vm[vm])
+        cell.member_by_vm[vm] = restarted
+        cell._tasks.append(await curio.spawn(restarted.run, daemon=True))
+        await curio.sleep(FAULT_S)
+        known = restarted.table.is_cancellation_stored(jobs[2].job_id)
+        await cell.stop()
+        late = [
+            at - cancelled_at
+            for at, _, task in cell.workers.starts
+            if task.startswith(jobs[2].job_id) and at > cancelled_at + CANCEL_S
+        ]
+        return late, known
+
+    def test_no_task_of_the_job_starts(self):
+        """Guards against a cancellation that only an ended process would repeat."""
+        late, known = run_in_virtual_time(self.play)
+        assert known
+        assert late == []
