--- a/tests/cell/test_freshness.py
+++ b/tests/cell/test_freshness.py
@@ -8,6 +8,7 @@
 from arbutusladder.cell.interfaces import KeyedRecord, LogBatch
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
+    PROGRESS_TOPIC,
     cancellation_item,
     cancellation_key,
     submission_item,
@@ -17,6 +18,7 @@
 from arbutusladder.cell.storedcancellations import KEPT_S, StoredCancellations
 from arbutusladder.cell.topicview import TopicView
 from arbutusladder.clock import Clock, ManualClock
+from arbutusladder.errors import LogUnavailable
 from arbutusladder.httppool import CONNECT_TIMEOUT_S
 from arbutusladder.messages import (
     JobsRelay,
@@ -500,3 +502,51 @@
             record_read(jobs, now)
             registry.record_failure()
             assert freshness.is_recent(now, True, lambda: 4)
+
+
+def refuse_progress(append):
+    """Returns an append that the log refuses for the progress topic."""
+
+    async def append_or_refuse(topic, items, *args, **options):
+        if topic == PROGRESS_TOPIC:
+            await curio.sleep(0.05)
+            raise LogUnavailable("refused", maybe_applied=False)
+        return await append(topic, items, *args, **options)
+
+    return append_or_refuse
+
+
+class TestPowerFailureAfterAnnouncedEnd:
+    """Pattern: progress is not stored, an end is shown, and all machines lose power."""
+
+    def test_shown_job_does_not_run_again(self):
+        """Guards against a start over a second after the job was shown as completed."""
+
+        async def main():
+            cell = InProcessCell()
+            await cell.start()
+            record = workloads.quote(1, count=1)
+            for access in cell.access_by_vm.values():
+                access.append = refuse_progress(access.append)
+            other = cell.member_by_vm[cell.other_vms()[0]]
+            await submit(other, record)
+            await curio.sleep(4.0)
+            shown = other.table.phase(record.job_id)
+            shown_at, starts = Clock().now(), len(cell.workers.starts)
+            await cell.stop()
+            await curio.sleep(3.0)
+            after = InProcessCell()
+            after.log = cell.log
+            after.access_by_vm = {
+                vm: type(a)(cell.log) for vm, a in after.access_by_vm.items()
+            }
+            await after.start()
+            await curio.sleep(10.0)
+            await after.stop()
+            late = [
+                at - shown_at for at, *_ in after.workers.starts if at > shown_at + 1
+            ]
+            return shown, starts, late
+
+        shown, _, late = run_in_virtual_time(main)
+        assert shown is not JobPhase.COMPLETED or late == []
