Refuse numbers of hundreds of digits in a job's body

A client that sent a cpu of 400 digits got no response: its connection was closed. Integers of JSON text are unbounded, so the division in decode_job overflowed; in the other fields such an integer overflowed when the job was encoded for the log. Negative amounts and durations of 1e308 ms were accepted.

Each number of a body now has bounds in its decoded type, so that it fails as a malformed body does: status 400 with the field, and the remedy, which also follows other problems of a body. The bounds of executors' registry entries were the same ones; both now come from platform/bounds.py. cold-left-ms of an entry, which nothing uses, is bounded as other durations are.

The new end-to-end test failed with "connection closed before a response".

--- a/arbutusladder/platform/jobbody.py
+++ b/arbutusladder/platform/jobbody.py
@@ -6,10 +6,14 @@
 
 from arbutusladder.ids import JobId
 from arbutusladder.messages import QueueTerms, Resources, StepSpec, SubmittedJob
+from arbutusladder.platform.bounds import Amount, Duration
 from arbutusladder.platform.jsonbody import decode_json
 
 # Form of the job ids, which clients choose.
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
+# Remedy of an invalid body; the problem before it names the field, or the position in
+# text that is no JSON.
+REMEDY = "correct this part of the JSON body and submit the job again"
 
 
 class _Step(msgspec.Struct, rename="kebab"):
@@ -20,24 +24,24 @@
     ``max-per-server`` limits the tasks on one executor.
     """
 
-    count: int = 1
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: float = 0.0
-    after: list[int] = []
+    count: Amount = 1
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+    estimate_ms: Duration = 0.0
+    after: list[Amount] = []
     checkpoints: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    max_per_server: int = 0
+    max_per_server: Amount = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: float = 0.0
+    target_ms: Duration = 0.0
     fills: bool = False
-    allow_miss: int = 0
+    allow_miss: Amount = 0
 
 
 class _Job(msgspec.Struct, rename="kebab"):
@@ -49,9 +53,9 @@
 
     steps: list[_Step]
     spec: str = ""
-    times: int = 0
-    first_ms: float = 0.0
-    interval_ms: float = 0.0
+    times: Amount = 0
+    first_ms: Duration = 0.0
+    interval_ms: Duration = 0.0
 
 
 def decode_job(
@@ -66,16 +70,13 @@
         wall_time: Wall clock time of the submission in seconds.
 
     Raises:
-        msgspec.MsgspecError: The body is not a valid job.
+        msgspec.ValidationError: The body is not a valid job.
     """
-    job = decode_json(body, _Job)
-    if not job.steps:
-        raise msgspec.ValidationError("a job needs at least one step")
-    for index, step in enumerate(job.steps):
-        if step.count < 1 or any(not 0 <= i < index for i in step.after):
-            raise msgspec.ValidationError(
-                f"step {index}: count is at least 1 and after names earlier steps"
-            )
+    try:
+        job = decode_json(body, _Job)
+        _check_steps(job.steps)
+    except msgspec.MsgspecError as error:
+        raise msgspec.ValidationError(f"{error}; {REMEDY}") from error
     return SubmittedJob(
         job_id=job_id,
         queue=terms,
@@ -88,6 +89,16 @@
     )
 
 
+def _check_steps(steps: list[_Step]) -> None:
+    if not steps:
+        raise msgspec.ValidationError("a job needs at least one step")
+    for index, step in enumerate(steps):
+        if step.count < 1 or any(i >= index for i in step.after):
+            raise msgspec.ValidationError(
+                f"step {index}: count is at least 1 and after names earlier steps"
+            )
+
+
 def _step_spec(step: _Step) -> StepSpec:
     return StepSpec(
         count=step.count,
--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -6,10 +6,9 @@
 
 import re
 from http import HTTPStatus
-from typing import Annotated, get_args
+from typing import get_args
 
 import msgspec
-from msgspec import Meta
 
 from arbutusladder.cell.interfaces import (
     EndedTask,
@@ -28,6 +27,7 @@
 from arbutusladder.messages import Header, Resources
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.addresses import is_address
+from arbutusladder.platform.bounds import Amount, Counter, Duration
 from arbutusladder.platform.jsonbody import decode_json
 
 # Seconds for the response to an order, and to a lease renewal beyond its long-polling
@@ -62,17 +62,12 @@
 }
 
 
-# Numbers of an entry; larger ones are errors, and some have no representation as float.
-_Amount = Annotated[int, Meta(ge=0, le=10**9)]
-_Counter = Annotated[int, Meta(ge=0, le=10**15)]
-
-
 class _Room(msgspec.Struct, rename="kebab"):
     """Capacity of an executor; ``cpu`` is in thousandths of a core."""
 
-    cpu: _Amount
-    mem_mb: _Amount
-    gpu: _Amount
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount
 
 
 class _Server(msgspec.Struct, rename="kebab"):
@@ -86,13 +81,13 @@
     address: str
     zone: str
     version: str
-    slots: _Amount
+    slots: Amount
     state: str
-    cold_left_ms: Annotated[float, Meta(ge=0)]
-    seq: _Counter
+    cold_left_ms: Duration
+    seq: Counter
     capacity: _Room
     labels: list[str]
-    born: _Counter
+    born: Counter
 
 
 class _Reply(msgspec.Struct, rename="kebab"):
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -293,6 +293,22 @@
         assert states == ["completed", "completed"]
         assert starts == 1
 
+    def test_unusable_number_is_refused_and_the_next_job_runs(self, tmp_path):
+        """Guards against a closed connection, and an entry VM that serves no more."""
+
+        async def scenario(cell):
+            path = QUEUE_PREFIX + "8" * 16
+            body = job_body(count=1, cpu=int("9" * 400))
+            refused = await cell.client_request(0, "POST", path, body)
+            accepted = await cell.client_request(0, "POST", path, job_body(count=1))
+            done = await cell.wait_until_completed(0, "8" * 16)
+            return refused, accepted.status, done
+
+        refused, accepted_status, done = run_scenario(tmp_path, scenario)
+        assert refused.status == 400
+        assert "cpu" in json.loads(refused.body)["error"]
+        assert (accepted_status, done) == (200, True)
+
     def test_new_job_during_an_outage_is_refused_and_never_runs(self, tmp_path):
         """Guards against running a job whose submission was refused."""
 
