Bound the numbers of all other input of an entry VM

- A version or priority of 400 digits in the operator's configuration came into force.
Each job of such a queue would overflow on its way to the log.
It is now reported as unreadable, and the last configuration stays in force.
- A run number of 400 digits in an executor's report went into the progress that the owner appends, and a clock of 1e300 ms into lease ends.
Such a report now counts as malformed, or as a response without a clock.
- An offset of the store above 64 bits would overflow in messages to the owner.
Its response now counts as lost.
- A settings file with deep nesting, an empty port-range or a port of 400 digits, or with negative limits: the first two gave a traceback, and now the file and the remedy.
- A validity of advice of 1e308 ms or below 0 was used.

All of them use the types of platform/bounds.py.

--- a/arbutusladder/platform/advice.py
+++ b/arbutusladder/platform/advice.py
@@ -6,6 +6,7 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.ids import RequestId, VmId
 from arbutusladder.messages import AdviceReply, AdviceTicket
+from arbutusladder.platform.bounds import Duration
 from arbutusladder.platform.jsonbody import decode_json
 from arbutusladder.platform.workers import JSON_HEADER
 
@@ -14,7 +15,7 @@
     """Reply of the service; ``good`` holds pairs of executor id and ticket."""
 
     good: list[tuple[str, str]]
-    validity_ms: float = 0.0
+    validity_ms: Duration = 0.0
 
 
 class PlatformAdvisor:
--- a/arbutusladder/platform/bounds.py
+++ b/arbutusladder/platform/bounds.py
@@ -17,7 +17,7 @@
 Position: TypeAlias = Annotated[int, Meta(ge=0, le=2**63 - 1)]
 # Times and durations in milliseconds or seconds.
 Duration: TypeAlias = Annotated[float, Meta(ge=0, le=10**15)]
-# Factors and shares.
+# Factors, shares and percentages.
 Factor: TypeAlias = Annotated[float, Meta(ge=0, le=10**9)]
 # Rank of a queue.
 Rank: TypeAlias = Annotated[int, Meta(ge=-(10**9), le=10**9)]
--- a/arbutusladder/platform/routes.py
+++ b/arbutusladder/platform/routes.py
@@ -5,6 +5,13 @@
 import msgspec
 
 from arbutusladder.messages import QueueTerms
+from arbutusladder.platform.bounds import (
+    Amount,
+    Duration,
+    Factor,
+    Position,
+    Rank,
+)
 from arbutusladder.platform.jsonbody import decode_json
 
 # Topic and key of the configuration in the platform's log.
@@ -19,9 +26,9 @@
     worker that it names, and ``validity-ms`` the time for which a ticket is valid.
     """
 
-    decision_ms: float = 0.0
-    each_ms: float = 0.0
-    validity_ms: float = 0.0
+    decision_ms: Duration = 0.0
+    each_ms: Duration = 0.0
+    validity_ms: Duration = 0.0
 
 
 class _Route(msgspec.Struct, rename="kebab"):
@@ -35,18 +42,18 @@
     host: str
     path_prefix: str
     service: str = ""
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    slo_ms: float = 0.0
-    timeout_ms: float = 3000.0
+    priority: Rank = 0
+    max_attempts: Amount = 1
+    stretch: Factor = 1.0
+    slo_ms: Duration = 0.0
+    timeout_ms: Duration = 3000.0
     advice: _Advice | None = None
 
 
 class _Config(msgspec.Struct, rename="kebab"):
     """The operator's configuration."""
 
-    version: int
+    version: Position
     routes: list[_Route]
 
 
--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -3,10 +3,14 @@
 import os
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from arbutusladder.errors import ConfigError
+from arbutusladder.platform.bounds import Duration, Factor, Port
+from arbutusladder.platform.jsonbody import decode_json
 
 # Factor on the retention of job states that the platform requires, for clients that
 # count it from a later moment.
@@ -40,10 +44,10 @@
     job may start.
     """
 
-    max_hold_ms: float = 6000.0
-    grace_s: float = 6.0
-    status_s: float = msgspec.field(default=120.0, name="status_s")
-    cancel_ms: float = msgspec.field(default=3000.0, name="cancel_ms")
+    max_hold_ms: Duration = 6000.0
+    grace_s: Duration = 6.0
+    status_s: Duration = msgspec.field(default=120.0, name="status_s")
+    cancel_ms: Duration = msgspec.field(default=3000.0, name="cancel_ms")
 
 
 class _Store(_Wire):
@@ -53,9 +57,9 @@
 class _Limits(_Wire):
     """``cpu-share`` is a share of one core that is ``cores`` times as fast as usual."""
 
-    cpu_share: float = 1.0
-    cores: float = 1.0
-    link_mbps: float = 1000.0
+    cpu_share: Factor = 1.0
+    cores: Factor = 1.0
+    link_mbps: Factor = 1000.0
 
 
 class _Settings(_Wire):
@@ -64,7 +68,7 @@
     node: str
     ip: str
     listen: _Listen
-    port_range: list[int]
+    port_range: Annotated[list[Port], Meta(min_length=1)]
     platform: _Store
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -111,11 +115,12 @@
         path: Path of the file; by default the value of ``ARBUTUSLADDER_BOOT``.
 
     Raises:
-        ConfigError: The file is missing, or a field is missing or has the wrong type.
+        ConfigError: The file is missing, or a field is missing, has the wrong type or
+            is out of bounds.
     """
     path = path or os.environ.get(SETTINGS_PATH_VARIABLE, "")
     try:
-        raw = msgspec.json.decode(Path(path).read_bytes(), type=_Settings)
+        raw = decode_json(Path(path).read_bytes(), _Settings)
     except OSError as error:
         remedy = f"set {SETTINGS_PATH_VARIABLE} to the settings file"
         raise ConfigError(path or "(none)", "$", str(error), remedy) from error
--- a/arbutusladder/platform/store.py
+++ b/arbutusladder/platform/store.py
@@ -25,6 +25,7 @@
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.metrics import Metrics
+from arbutusladder.platform.bounds import Position
 from arbutusladder.platform.jsonbody import decode_json
 
 # Default seconds for a whole exchange.
@@ -75,8 +76,8 @@
     the cause of a conflict.
     """
 
-    offset: int = 0
-    end: int = 0
+    offset: Position = 0
+    end: Position = 0
     reason: str = ""
 
 
@@ -84,7 +85,7 @@
     """Newest record of a key; ``value`` is in Base64."""
 
     key: str
-    offset: int
+    offset: Position
     value: str = ""
 
 
@@ -92,7 +93,7 @@
     """One page of the newest records, in the order of their keys."""
 
     items: list[_Item]
-    end: int
+    end: Position
     has_more: bool = False
 
 
--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -27,7 +27,7 @@
 from arbutusladder.messages import Header, Resources
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.addresses import is_address
-from arbutusladder.platform.bounds import Amount, Counter, Duration
+from arbutusladder.platform.bounds import Amount, Counter, Duration, Factor
 from arbutusladder.platform.jsonbody import decode_json
 
 # Seconds for the response to an order, and to a lease renewal beyond its long-polling
@@ -98,16 +98,16 @@
     point.
     """
 
-    clock_ms: float | None = None
+    clock_ms: Duration | None = None
     reason: str = ""
-    born: int = 0
+    born: Counter = 0
     running: list = []
     ended: list = []
 
 
 # Rows of `_Reply`; executors may add fields.
-_RunningRow = tuple[str, int, str, float]
-_EndedRow = tuple[int, str, int, str, str]
+_RunningRow = tuple[str, Counter, str, Factor]
+_EndedRow = tuple[Counter, str, Counter, str, str]
 
 
 def decode_registry_entry(record: KeyedRecord) -> WorkerEntry | None:
@@ -244,7 +244,8 @@
         row_type: Types of the fields to return.
 
     Raises:
-        msgspec.ValidationError: The row is too short, or a field has another type.
+        msgspec.ValidationError: The row is too short, or a field has another type or is
+            out of bounds.
     """
     size = len(get_args(row_type))
     if not isinstance(row, list) or len(row) < size:
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -65,6 +65,50 @@
         printed = capsys.readouterr().err
         assert expected_text in printed and "settings.json" in printed
 
+    @pytest.mark.parametrize(
+        "text", ["9" * 400, "9" * 5000, "-" + "9" * 400, "1e400", "-1", '"6"', "null"]
+    )
+    @pytest.mark.parametrize(
+        ("part", "field"),
+        [
+            ("bounds", "max-hold-ms"),
+            ("bounds", "grace-s"),
+            ("bounds", "status_s"),
+            ("bounds", "cancel_ms"),
+            ("limits", "cpu-share"),
+            ("limits", "cores"),
+            ("limits", "link-mbps"),
+            ("port-range", "port-range"),
+        ],
+    )
+    def test_unusable_number_is_reported(self, tmp_path, capsys, part, field, text):
+        """Guards against a traceback instead of the field and the remedy."""
+        value = ["VALUE"] if part == field else {field: "VALUE"}
+        path = tmp_path / "settings.json"
+        content = json.dumps(settings_with(**{part: value}))
+        path.write_text(content.replace('"VALUE"', text))
+        assert check.main([str(path)]) == 2
+        printed = capsys.readouterr().err
+        assert field in printed and "make it valid JSON" in printed
+
+    @pytest.mark.parametrize(
+        "content",
+        [
+            b"[" * 100_000,
+            b'{"new":' * 100_000,
+            b'{"node":"\xff"}',
+            json.dumps(settings_with(**{"port-range": []})).encode(),
+        ],
+        ids=["nested", "nested field", "no UTF-8", "no port"],
+    )
+    def test_unreadable_file_is_reported(self, tmp_path, capsys, content):
+        """Guards against a traceback instead of the file and the remedy."""
+        path = tmp_path / "settings.json"
+        path.write_bytes(content)
+        assert check.main([str(path)]) == 2
+        printed = capsys.readouterr().err
+        assert "settings.json" in printed and "make it valid JSON" in printed
+
     def test_missing_file_is_reported(self, capsys):
         assert check.main(["missing.json"]) == 2
         assert "missing.json" in capsys.readouterr().err
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -293,6 +293,26 @@
         assert states == ["completed", "completed"]
         assert starts == 1
 
+    def test_unusable_configuration_leaves_the_last_one_in_force(self, tmp_path):
+        """Guards against an entry VM that ends, or refuses each job of a queue."""
+
+        async def scenario(cell):
+            huge = int("9" * 400)
+            versions = []
+            for config in (
+                operator_config(2, priority=huge),
+                operator_config(huge),
+                operator_config(3),
+            ):
+                cell.store.put_record("keyed.op", "config", config)
+                await curio.sleep(0.2)
+                versions.append(cell.entries[0]._routes.version)
+            path = QUEUE_PREFIX + "9" * 16
+            answer = await cell.client_request(0, "POST", path, job_body(count=1))
+            return versions, answer.status
+
+        assert run_scenario(tmp_path, scenario) == ([1, 1, 3], 200)
+
     def test_unusable_number_is_refused_and_the_next_job_runs(self, tmp_path):
         """Guards against a closed connection, and an entry VM that serves no more."""
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,6 +14,7 @@
 )
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
+from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform import store as store_client
@@ -237,3 +238,62 @@
 
         batch = run_with_store(scenario)
         assert [(r.key, r.value) for r in batch.records] == [("b", b"2")]
+
+
+class TestUnusableResponse:
+    """Pattern: the store answers with a number or a form that no reader can use."""
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            pytest.param(b'{"offset":' + b"9" * 400 + b"}", id="hundreds of digits"),
+            pytest.param(b'{"offset":' + b"9" * 5000 + b"}", id="thousands of digits"),
+            b'{"offset":18446744073709551616}',
+            b'{"offset":-1}',
+            b'{"offset":1e400}',
+            b'{"offset":NaN}',
+            b'{"offset":"1"}',
+            pytest.param(b"[" * 100_000, id="deeply nested"),
+            pytest.param(b'{"new":' * 100_000, id="deeply nested field"),
+        ],
+    )
+    def test_append_counts_as_unanswered(self, body):
+        """Guards against an offset that no message to the owner can hold."""
+
+        async def scenario(store, log):
+            store.server._handler = answer_with(body)
+            with pytest.raises(LogUnavailable) as error:
+                await log.append(TOPIC, [("a", b"1")])
+            return error.value.maybe_applied
+
+        assert run_with_store(scenario) is True
+
+    @pytest.mark.parametrize(
+        "body",
+        [
+            b'{"items":[],"end":' + b"9" * 400 + b"}",
+            b'{"items":[],"end":-1}',
+            b'{"items":[{"key":"a","offset":' + b"9" * 400 + b'}],"end":1}',
+            b'{"items":[{"key":"a","offset":-1}],"end":1}',
+            b'{"items":' + b"[" * 100_000,
+        ],
+        ids=["end", "negative end", "offset", "negative offset", "deeply nested"],
+    )
+    def test_page_counts_as_unanswered(self, body):
+        """Guards against an offset that ends the process which reads it."""
+
+        async def scenario(store, log):
+            store.server._handler = answer_with(body)
+            with pytest.raises(LogUnavailable):
+                await log.newest(TOPIC)
+
+        run_with_store(scenario)
+
+
+def answer_with(body):
+    """Returns a handler that answers every request with a body."""
+
+    async def handle(request):
+        return HttpResponse(200, [], body)
+
+    return handle
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -23,7 +23,8 @@
     """Returns the result of a lease renewal that an executor answers with a body."""
 
     async def answer(request):
-        return HttpResponse(200, [], json.dumps(reply).encode())
+        body = reply if isinstance(reply, bytes) else json.dumps(reply).encode()
+        return HttpResponse(200, [], body)
 
     async def main():
         server = HttpServer("127.0.0.1:0", answer)
@@ -74,6 +75,38 @@
         assert report.running[0].percent == 5
         assert report.ended[0].how is EndKind.DONE
 
+    @pytest.mark.parametrize("number", [10**400, -(10**400), 2**64, -1, "1", None, []])
+    @pytest.mark.parametrize("place", ["end", "run of an end", "run", "born"])
+    def test_report_with_an_unusable_number_counts_as_unanswered(self, place, number):
+        """Guards against a number that the progress on the log cannot hold."""
+        reply = {
+            "end": {"ended": [[number, TASK, 1, "done", ""]]},
+            "run of an end": {"ended": [[1, TASK, number, "done", ""]]},
+            "run": {"running": [[TASK, number, "", 5]]},
+            "born": {"born": number},
+        }[place]
+        answer = renew({"clock-ms": 5000} | reply)
+        assert isinstance(answer, OrderAnswer)
+        assert answer.outcome is not OrderOutcome.FENCED
+
+    @pytest.mark.parametrize("percent", [10**300, 10**400, -(10**400), "5", None])
+    def test_unusable_percentage_counts_as_unanswered(self, percent):
+        """Guards against an overflow in the estimate of the executor's speed."""
+        answer = renew({"clock-ms": 5000, "running": [[TASK, 1, "", percent]]})
+        assert isinstance(answer, OrderAnswer)
+
+    @pytest.mark.parametrize("clock", [10**400, 10**308, 1e300, -1, "5", []])
+    def test_report_with_an_unusable_clock_counts_as_unanswered(self, clock):
+        """Guards against the end of a lease that no order can hold."""
+        answer = renew({"clock-ms": clock})
+        assert isinstance(answer, OrderAnswer)
+        assert answer.clock is None
+
+    def test_deeply_nested_report_counts_as_unanswered(self):
+        """Guards against an exceeded recursion limit that ends lease renewals."""
+        for opening in (b"[", b'{"running":['):
+            assert isinstance(renew(opening * 100_000), OrderAnswer)
+
 
 ENTRY = {
     "service": "svc",
