Test that the owner can store the largest numbers of a report

Guards the bounds on executors' reports: if they grow beyond what the progress on the log or the end of a lease can hold, the test fails.

--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -3,15 +3,19 @@
 import json
 
 import curio
+import msgspec
 import pytest
 from hypothesis import given, strategies
 
+from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import KeyedRecord, OrderAnswer, WorkerReport
-from arbutusladder.cell.states import EndKind, OrderOutcome
+from arbutusladder.cell.jobtable import progress_item
+from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.httpserver import HttpServer
+from arbutusladder.messages import JobProgress
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.workers import PlatformWorkerClient, decode_registry_entry
 from tests.cell import workloads
@@ -107,6 +111,29 @@
         for opening in (b"[", b'{"running":['):
             assert isinstance(renew(opening * 100_000), OrderAnswer)
 
+    def test_largest_numbers_of_a_report_can_be_stored(self):
+        """Guards against accepted numbers that overflow later, in the owner."""
+        largest = 10**15
+        state = CellState(0.0, lambda task: None)
+        state.update_registry({e.vm: e for e in workloads.workers(1)}, 0.0)
+        (vm,) = state.worker_by_vm
+        record = workloads.quote(1)
+        job = state.add_job(record, JobProgress(JobPhase.QUEUED), 0.0)
+        for percent in (0, 10**9):
+            report = renew(
+                {
+                    "clock-ms": largest,
+                    "born": largest,
+                    "running": [[f"{job.id}.0.0.1", largest, "", percent]],
+                    "ended": [[largest, TASK, largest, "failed", ""]],
+                }
+            )
+            state.apply_report(vm, report, percent, percent)
+        assert progress_item(job.id, job.progress())
+        worker = state.worker_by_vm[vm]
+        lease_end = worker.grant_lease(percent, 5.0)
+        assert msgspec.msgpack.encode([int(lease_end * 1000), worker.last_end_number])
+
 
 ENTRY = {
     "service": "svc",
