--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -6,10 +6,9 @@
 
 import re
 from http import HTTPStatus
-from typing import Annotated, get_args
+from typing import get_args
 
 import msgspec
-from msgspec import Meta
 
 from arbutusladder.cell.interfaces import (
     EndedTask,
@@ -28,6 +27,7 @@
 from arbutusladder.messages import Header, Resources
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.addresses import is_address
+from arbutusladder.platform.bounds import Amount, Counter, Duration, Factor
 from arbutusladder.platform.jsonbody import decode_json
 
 # Seconds for the response to an order, and to a lease renewal beyond its long-polling
@@ -62,17 +62,12 @@
 }
 
 
-# Numbers of an entry; larger ones are errors, and some have no representation as float.
-_Amount = Annotated[int, Meta(ge=0, le=10**9)]
-_Counter = Annotated[int, Meta(ge=0, le=10**15)]
-
-
 class _Room(msgspec.Struct, rename="kebab"):
     """Capacity of an executor; ``cpu`` is in thousandths of a core."""
 
-    cpu: _Amount
-    mem_mb: _Amount
-    gpu: _Amount
+    cpu: Amount
+    mem_mb: Amount
+    gpu: Amount
 
 
 class _Server(msgspec.Struct, rename="kebab"):
@@ -86,13 +81,13 @@
     address: str
     zone: str
     version: str
-    slots: _Amount
+    slots: Amount
     state: str
-    cold_left_ms: Annotated[float, Meta(ge=0)]
-    seq: _Counter
+    cold_left_ms: Duration
+    seq: Counter
     capacity: _Room
     labels: list[str]
-    born: _Counter
+    born: Counter
 
 
 class _Reply(msgspec.Struct, rename="kebab"):
@@ -103,16 +98,16 @@
     point.
     """
 
-    clock_ms: float | None = None
+    clock_ms: Duration | None = None
     reason: str = ""
-    born: int = 0
+    born: Counter = 0
     running: list = []
     ended: list = []
 
 
 # Rows of `_Reply`; executors may add fields.
-_RunningRow = tuple[str, int, str, float]
-_EndedRow = tuple[int, str, int, str, str]
+_RunningRow = tuple[str, Counter, str, Factor]
+_EndedRow = tuple[Counter, str, Counter, str, str]
 
 
 def decode_registry_entry(record: KeyedRecord) -> WorkerEntry | None:
@@ -249,7 +244,8 @@
         row_type: Types of the fields to return.
 
     Raises:
-        msgspec.ValidationError: The row is too short, or a field has another type.
+        msgspec.ValidationError: The row is too short, or a field has another type or is
+            out of bounds.
     """
     size = len(get_args(row_type))
     if not isinstance(row, list) or len(row) < size:
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -3,15 +3,19 @@
 import json
 
 import curio
+import msgspec
 import pytest
 from hypothesis import given, strategies
 
+from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import KeyedRecord, OrderAnswer, WorkerReport
-from arbutusladder.cell.states import EndKind, OrderOutcome
+from arbutusladder.cell.jobtable import progress_item
+from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.httpserver import HttpServer
+from arbutusladder.messages import JobProgress
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.workers import PlatformWorkerClient, decode_registry_entry
 from tests.cell import workloads
@@ -23,7 +27,8 @@
     """Returns the result of a lease renewal that an executor answers with a body."""
 
     async def answer(request):
-        return HttpResponse(200, [], json.dumps(reply).encode())
+        body = reply if isinstance(reply, bytes) else json.dumps(reply).encode()
+        return HttpResponse(200, [], body)
 
     async def main():
         server = HttpServer("127.0.0.1:0", answer)
@@ -74,6 +79,61 @@
         assert report.running[0].percent == 5
         assert report.ended[0].how is EndKind.DONE
 
+    @pytest.mark.parametrize("number", [10**400, -(10**400), 2**64, -1, "1", None, []])
+    @pytest.mark.parametrize("place", ["end", "run of an end", "run", "born"])
+    def test_report_with_an_unusable_number_counts_as_unanswered(self, place, number):
+        """Guards against a number that the progress on the log cannot hold."""
+        reply = {
+            "end": {"ended": [[number, TASK, 1, "done", ""]]},
+            "run of an end": {"ended": [[1, TASK, number, "done", ""]]},
+            "run": {"running": [[TASK, number, "", 5]]},
+            "born": {"born": number},
+        }[place]
+        answer = renew({"clock-ms": 5000} | reply)
+        assert isinstance(answer, OrderAnswer)
+        assert answer.outcome is not OrderOutcome.FENCED
+
+    @pytest.mark.parametrize("percent", [10**300, 10**400, -(10**400), "5", None])
+    def test_unusable_percentage_counts_as_unanswered(self, percent):
+        """Guards against an overflow in the estimate of the executor's speed."""
+        answer = renew({"clock-ms": 5000, "running": [[TASK, 1, "", percent]]})
+        assert isinstance(answer, OrderAnswer)
+
+    @pytest.mark.parametrize("clock", [10**400, 10**308, 1e300, -1, "5", []])
+    def test_report_with_an_unusable_clock_counts_as_unanswered(self, clock):
+        """Guards against the end of a lease that no order can hold."""
+        answer = renew({"clock-ms": clock})
+        assert isinstance(answer, OrderAnswer)
+        assert answer.clock is None
+
+    def test_deeply_nested_report_counts_as_unanswered(self):
+        """Guards against an exceeded recursion limit that ends lease renewals."""
+        for opening in (b"[", b'{"running":['):
+            assert isinstance(renew(opening * 100_000), OrderAnswer)
+
+    def test_largest_numbers_of_a_report_can_be_stored(self):
+        """Guards against accepted numbers that overflow later, in the owner."""
+        largest = 10**15
+        state = CellState(0.0, lambda task: None)
+        state.update_registry({e.vm: e for e in workloads.workers(1)}, 0.0)
+        (vm,) = state.worker_by_vm
+        record = workloads.quote(1)
+        job = state.add_job(record, JobProgress(JobPhase.QUEUED), 0.0)
+        for percent in (0, 10**9):
+            report = renew(
+                {
+                    "clock-ms": largest,
+                    "born": largest,
+                    "running": [[f"{job.id}.0.0.1", largest, "", percent]],
+                    "ended": [[largest, TASK, largest, "failed", ""]],
+                }
+            )
+            state.apply_report(vm, report, percent, percent)
+        assert progress_item(job.id, job.progress())
+        worker = state.worker_by_vm[vm]
+        lease_end = worker.grant_lease(percent, 5.0)
+        assert msgspec.msgpack.encode([int(lease_end * 1000), worker.last_end_number])
+
 
 ENTRY = {
     "service": "svc",
