Leave out stored progress of tasks that a job does not have

If two entry VMs accept different jobs under one id before either has read the other's, the stored progress can name tasks that the job read later lacks. Each takeover then ended in an IndexError and released the claim.

--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -279,11 +279,18 @@
 
 
 def restore_stage(stage: Stage, progress: StageProgress) -> None:
-    """Restores a new step from stored progress."""
+    """Restores a new step from stored progress.
+
+    Tasks that the step does not have are left out. They are stored if another entry VM
+    accepted a different job under the same id.
+    """
+    count = len(stage.tasks)
     for index in progress.done:
-        stage.tasks[index].done = True
+        if 0 <= index < count:
+            stage.tasks[index].done = True
     for failed in progress.failed:
-        stage.tasks[failed.index].failed_runs.add(failed.run)
+        if 0 <= failed.index < count:
+            stage.tasks[failed.index].failed_runs.add(failed.run)
     for task, run in zip(stage.tasks, progress.runs, strict=False):
         task.last_run = run
     for task, saved in zip(stage.tasks, progress.saved, strict=False):
--- a/tests/cell/test_stages.py
+++ b/tests/cell/test_stages.py
@@ -15,9 +15,11 @@
 from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome
 from arbutusladder.messages import (
+    FailedRun,
     JobProgress,
     QueueTerms,
     Resources,
+    StageProgress,
     StepSpec,
     SubmittedJob,
 )
@@ -73,6 +75,19 @@
         assert added_job.phase is JobPhase.FAILED
 
 
+class TestProgressOfAnotherJob:
+    """Pattern: two entry VMs accept different jobs under one id at the same time."""
+
+    def test_tasks_that_the_job_lacks_are_left_out(self):
+        """Guards against a cell in which each takeover fails."""
+        stored = StageProgress(0, 0, [0, 5], [FailedRun(6, 1)], [1] * 7)
+        state = CellState(0.0, lambda task: None)
+        progress = JobProgress(JobPhase.RUNNING, [stored])
+        job = state.add_job(make_submission(steps(2)), progress, NOW, inherited=True)
+        (stage,) = job.stage_by_key.values()
+        assert [task.done for task in stage.tasks] == [True, False]
+
+
 class TestOldRun:
     """A worker that rejects a start order because it knows the run number."""
 
