--- /dev/null
+++ b/tests/cell/exploremutants.py
@@ -0,0 +1,61 @@
+"""Mutants of the cell, each without one safety mechanism.
+
+The search must detect them; one that passes shows what the search would miss.
+"""
+
+from unittest import mock
+
+from arbutusladder.cell.claims import ClaimView
+from arbutusladder.cell.confirmation import OwnershipEvidence
+from arbutusladder.cell.freshness import ViewFreshness
+from arbutusladder.cell.owncancellations import OwnCancellations
+from arbutusladder.cell.owner import Owner
+
+
+def view_always_recent():
+    """The owner starts tasks on a view of any age."""
+    return [mock.patch.object(ViewFreshness, "is_recent", lambda view, age_s: True)]
+
+
+def claim_always_held():
+    """An owner renews the claim although the newest one is another's."""
+    return [mock.patch.object(ClaimView, "holds", lambda view, epoch: True)]
+
+
+def evidence_always_valid():
+    """An owner gives orders without recent evidence."""
+
+    def is_valid(evidence, count_other_vms):
+        return True
+
+    return [mock.patch.object(OwnershipEvidence, "is_valid", is_valid)]
+
+
+def cancellations_not_repeated():
+    """Hellos do not repeat cancellations that the owner does not know."""
+
+    def unknown_to_owner(cancellations, heartbeat, now):
+        return []
+
+    return [mock.patch.object(OwnCancellations, "unknown_to_owner", unknown_to_owner)]
+
+
+def workers_not_awaited():
+    """A successor does not wait for workers that have not reported."""
+
+    def await_reports(owner, now):
+        pass
+
+    return [mock.patch.object(Owner, "_await_reports", await_reports)]
+
+
+MUTANTS = {
+    mutant.__name__: mutant
+    for mutant in (
+        view_always_recent,
+        claim_always_held,
+        evidence_always_valid,
+        cancellations_not_repeated,
+        workers_not_awaited,
+    )
+}
--- /dev/null
+++ b/tests/cell/exploreplan.py
@@ -0,0 +1,148 @@
+"""Plans of the search: what clients ask and which faults occur, all from one seed."""
+
+import random
+from dataclasses import dataclass
+
+from arbutusladder.cell.claims import OWNER_TOPIC
+from arbutusladder.cell.jobtable import JOBS_TOPIC, PROGRESS_TOPIC
+from arbutusladder.messages import Resources, StepSpec
+from tests.cell import explorefaults as faults
+from tests.cell import workloads
+from tests.cell.inprocess import REGISTRY_TOPIC
+
+QUEUE = workloads.queue("explore", 0, 2.0, 1.0, max_attempts=3)
+TOPICS = (JOBS_TOPIC, PROGRESS_TOPIC, OWNER_TOPIC, REGISTRY_TOPIC)
+# Messages of which single types are lost.
+KINDS = ("JobsRelay", "LogCall", "MemberHello", "OwnerBeat", "ProgressRelay")
+WORKER_CORES = 8.0
+# Share of the faults at an entry VM that hit the owner.
+OWNER_SHARE = 0.6
+# Shortest and longest time in seconds that a fault is in force.
+FAULT_S = (0.3, 8.0)
+CANCELLED_SHARE = 0.4
+READS_PER_JOB = 4
+
+
+@dataclass(frozen=True)
+class Submit:
+    """A client submits a job."""
+
+    at: float
+    vm: str
+    job: int
+
+
+@dataclass(frozen=True)
+class Cancel:
+    """A client cancels a job."""
+
+    at: float
+    vm: str
+    job: int
+
+
+@dataclass(frozen=True)
+class Read:
+    """A client reads the state of a job."""
+
+    at: float
+    vm: str
+    job: int
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What one seed plays.
+
+    Attributes:
+        seed: The seed.
+        seconds: Time in which requests and faults begin.
+        vms: Names of the entry VMs.
+        workers: Ids of the workers.
+        jobs: Submissions by number.
+        requests: Requests of clients in order of time.
+        faults: Faults in order of time.
+    """
+
+    seed: int
+    seconds: float
+    vms: str
+    workers: tuple
+    jobs: dict
+    requests: list
+    faults: list
+
+    @property
+    def faults_end_at(self):
+        """Time at which the last fault has ended."""
+        ends = [fault.at + fault.seconds for fault in self.faults]
+        return max(ends, default=0.0)
+
+
+def make_plan(seed, seconds=20.0, vm_count=3, worker_count=3):
+    """Returns the plan of a seed."""
+    draw = random.Random(seed)
+    vms = "abcdefghij"[:vm_count]
+    workers = tuple(entry.vm for entry in workloads.workers(worker_count))
+    jobs, requests = {}, []
+    for number in range(1, draw.randint(8, 8 + int(1.2 * seconds)) + 1):
+        jobs[number] = _make_job(draw, number)
+        at = draw.uniform(0.0, seconds)
+        requests.append(Submit(at, draw.choice(vms), number))
+        if draw.random() < CANCELLED_SHARE:
+            cancel_at = at + draw.uniform(0.1, 6.0)
+            requests.append(Cancel(cancel_at, draw.choice(vms), number))
+        for _ in range(READS_PER_JOB):
+            read_at = at + draw.uniform(0.2, 12.0)
+            requests.append(Read(read_at, draw.choice(vms), number))
+    count = draw.randint(2, 3 + int(seconds / 4))
+    drawn = [_make_fault(draw, seconds, vms, workers) for _ in range(count)]
+    return Plan(
+        seed,
+        seconds,
+        vms,
+        workers,
+        jobs,
+        sorted(requests, key=lambda request: request.at),
+        sorted(drawn, key=lambda fault: fault.at),
+    )
+
+
+def _make_job(draw, number):
+    steps = []
+    for index in range(draw.choice((1, 1, 1, 2, 3))):
+        need = Resources(float(draw.randint(2, 8)), 1000.0)
+        after = [index - 1] if index else []
+        steps.append(StepSpec(draw.randint(1, 3), need, 1.0, after))
+    return workloads.job(number, QUEUE, *steps)
+
+
+def _make_fault(draw, seconds, vms, workers):
+    at, length = draw.uniform(0.0, seconds), draw.uniform(*FAULT_S)
+    vm = faults.OWNER if draw.random() < OWNER_SHARE else draw.choice(vms)
+    other = draw.choice((faults.ANY, *vms))
+    worker = draw.choice(workers)
+    share = draw.choice((0.3, 0.7, 1.0))
+    makers = (
+        lambda: faults.MessagesLost(at, length, vm, other, share),
+        lambda: faults.MessagesLost(at, length, other, vm, share),
+        lambda: faults.MessagesLost(
+            at, length, faults.ANY, faults.ANY, 1.0, draw.choice(KINDS)
+        ),
+        lambda: faults.MessagesDelayed(at, length, vm, other, draw.uniform(0.1, 6.0)),
+        lambda: faults.MessagesDelayed(at, length, other, vm, draw.uniform(0.1, 6.0)),
+        lambda: faults.LogCut(at, length, vm),
+        lambda: faults.ReadsSilent(at, length, vm, faults.ANY),
+        lambda: faults.ReadsSilent(at, length, vm, draw.choice(TOPICS)),
+        lambda: faults.LogSlow(at, length, vm, draw.uniform(0.1, 2.5)),
+        lambda: faults.LogSlow(at, length, faults.ANY, draw.uniform(0.1, 1.5)),
+        lambda: faults.AppendsLate(at, length, vm, share),
+        lambda: faults.AnswersLost(at, length, vm, share),
+        lambda: faults.LogDown(at, length),
+        lambda: faults.VmKilled(at, length, vm),
+        lambda: faults.VmPaused(at, length, vm),
+        lambda: faults.WorkerRestarted(at, length / 4, worker),
+        lambda: faults.WorkerSilent(at, length, worker),
+        lambda: faults.OrdersLate(at, length, worker, share),
+    )
+    return draw.choice(makers)()
--- /dev/null
+++ b/tests/cell/exploreworkers.py
@@ -0,0 +1,255 @@
+"""Workers of the search, which crash, fall silent and carry orders out late."""
+
+import itertools
+import random
+import time
+from dataclasses import dataclass, replace
+
+import curio
+
+from arbutusladder.cell.interfaces import (
+    EndedTask,
+    OrderAnswer,
+    RunningTask,
+    WorkerReport,
+)
+from arbutusladder.cell.states import EndKind, OrderOutcome
+from arbutusladder.platform.workers import ORDER_TIMEOUT_S, RENEW_TIMEOUT_S
+from tests.cell.explorerules import Done
+from tests.cell.faultynetwork import NoAnswer
+from tests.cell.inprocess import LATENCY_S
+from tests.cell.pausable import FOREVER_S
+
+# Shortest and longest time after which a delayed order is carried out.
+LATE_ORDER_S = (0.5, 5.0)
+# Shortest and longest run of a task.
+RUN_S = (0.2, 3.0)
+FAILED_SHARE = 0.08
+POLL_S = 0.05
+MAX_LEASE_S = 6.0
+
+
+@dataclass
+class _Run:
+    number: int
+    began_at: float
+    ends_at: float
+    how: EndKind
+
+
+class ExploreWorker:
+    """A worker with a fence and a lease, through all its incarnations.
+
+    Args:
+        entry: Its entry in the registry.
+        seed: Seed of the durations and outcomes of its runs.
+        checker: Checks its starts.
+        faults: Faults in force.
+
+    Attributes:
+        running: Runs in progress by task.
+        down: Whether it has crashed and not started again.
+    """
+
+    def __init__(self, entry, seed, checker, faults):
+        self.entry = entry
+        self.name, self.cores = entry.vm, entry.capacity.cpu
+        self.running = {}
+        self.down = False
+        self._seed, self._checker, self._faults = seed, checker, faults
+        self._begin_incarnation()
+
+    @property
+    def born(self):
+        """Start time of its incarnation."""
+        return self.entry.born
+
+    @property
+    def is_mute(self):
+        """Whether nothing that is sent to it arrives."""
+        return self.down or self._faults.is_silent(self.name)
+
+    def _begin_incarnation(self):
+        self._fence, self._lease_end = 0, None
+        self._ended, self._ended_runs = [], {}
+        self._end_numbers = itertools.count(1)
+        self._clock_offset_s = random.uniform(-100.0, 100.0)
+
+    def clock(self):
+        """Returns its own clock, which starts anew at each restart."""
+        return time.monotonic() + self._clock_offset_s
+
+    def crash(self):
+        """Ends its incarnation; nothing is left of it."""
+        self.advance()
+        self.down = True
+        self.running.clear()
+
+    def restart(self):
+        """Begins a new incarnation under the same id."""
+        self.entry = replace(self.entry, born=self.born + 1)
+        self._begin_incarnation()
+        self.down = False
+
+    async def handle(self, function, *args):
+        """Carries a request out; it gets no answer across a cut or a crash."""
+        born = self.born
+        if self.is_mute:
+            await curio.sleep(FOREVER_S)
+        answer = await function(*args)
+        if self.is_mute or self.born != born:
+            await curio.sleep(FOREVER_S)
+        return answer
+
+    def _is_fenced(self, epoch, sender):
+        self.advance()
+        self._checker.check_order(self, epoch, sender)
+        if epoch < self._fence:
+            return True
+        self._fence = epoch
+        return False
+
+    def _answer(self, outcome):
+        return OrderAnswer(outcome, self.clock())
+
+    async def start(self, order, epoch, until, sender):
+        """Starts a run."""
+        late = random.random() < self._faults.late_share(self.name)
+        if late:
+            born = self.born
+            await curio.sleep(random.uniform(*LATE_ORDER_S))
+            if self.is_mute or self.born != born:
+                await curio.sleep(FOREVER_S)
+        answer = self._start(order, epoch, until, sender, late)
+        if late:
+            await curio.sleep(FOREVER_S)
+        return answer
+
+    def _start(self, order, epoch, until, sender, late):
+        if self._is_fenced(epoch, sender):
+            return self._answer(OrderOutcome.FENCED)
+        if until <= self.clock():
+            return self._answer(OrderOutcome.TOO_LATE)
+        self._extend_lease(until)
+        task, number = order.task, order.run
+        if number <= self._ended_runs.get(task, 0):
+            return self._answer(OrderOutcome.OLD_RUN)
+        run = self.running.get(task)
+        if run and run.number == number:
+            return self._answer(OrderOutcome.ACCEPTED)
+        self._checker.check_start(self, task, number, epoch, late)
+        if run:
+            return self._answer(OrderOutcome.NO_ROOM)
+        draw = random.Random(f"{self._seed}/{task}/{number}")
+        now = time.monotonic()
+        failed = draw.random() < FAILED_SHARE
+        how = EndKind.FAILED if failed else EndKind.DONE
+        self.running[task] = _Run(number, now, now + draw.uniform(*RUN_S), how)
+        return self._answer(OrderOutcome.ACCEPTED)
+
+    async def stop(self, order, epoch, sender):
+        """Stops a run."""
+        if self._is_fenced(epoch, sender):
+            return self._answer(OrderOutcome.FENCED)
+        task, number = order.task, order.run
+        run = self.running.get(task)
+        if run and run.number <= number:
+            self._end(task, EndKind.STOPPED)
+        self._ended_runs[task] = max(number, self._ended_runs.get(task, 0))
+        return self._answer(OrderOutcome.ACCEPTED)
+
+    async def renew(self, epoch, acknowledged, until, wait, sender):
+        """Extends the lease and reports the runs, at the latest after a wait."""
+        if self._is_fenced(epoch, sender):
+            return self._answer(OrderOutcome.FENCED)
+        for row in self._ended:
+            if row.number <= acknowledged and row.how is EndKind.DONE:
+                self._checker.acknowledge(self, row.task, row.number)
+        self._ended = [row for row in self._ended if row.number > acknowledged]
+        if until is not None and until > self.clock():
+            self._extend_lease(until)
+        due_at = time.monotonic() + wait
+        while not self._ended and time.monotonic() < due_at and not self.down:
+            await curio.sleep(POLL_S)
+            self.advance()
+        now = time.monotonic()
+        rows = [
+            RunningTask(
+                task,
+                run.number,
+                "",
+                100.0 * (now - run.began_at) / (run.ends_at - run.began_at),
+            )
+            for task, run in self.running.items()
+        ]
+        return WorkerReport(self.born, self.clock(), rows, list(self._ended))
+
+    def _extend_lease(self, until):
+        until = min(until, self.clock() + MAX_LEASE_S)
+        self._lease_end = max(self._lease_end or until, until)
+
+    def advance(self):
+        """Ends the runs that have ended by now, each at its own time."""
+        if self.down:
+            return
+        now = time.monotonic()
+        lapsed = self._lease_end is not None and self.clock() > self._lease_end
+        lapsed_at = self._lease_end - self._clock_offset_s if lapsed else now
+        for task, run in list(self.running.items()):
+            if run.ends_at <= lapsed_at:
+                self._end(task, run.how)
+            elif lapsed:
+                self._end(task, EndKind.LAPSED)
+        if lapsed:
+            self._lease_end = None
+            self._checker.record_lapse(self)
+
+    def _end(self, task, how):
+        run = self.running.pop(task)
+        self._ended_runs[task] = max(run.number, self._ended_runs.get(task, 0))
+        number = next(self._end_numbers)
+        self._ended.append(EndedTask(number, task, run.number, how, ""))
+        self._checker.note(f"{task} run {run.number} on {self.name} ends {how.value}")
+        if how is EndKind.DONE:
+            done = Done(self.name, self.born, number, run.ends_at)
+            self._checker.record_done(task, done)
+
+
+class OrderSender:
+    """Orders of one process; see `arbutusladder.cell.interfaces.OrderSender`.
+
+    Args:
+        name: The process.
+        worker_by_vm: The workers.
+        network: Carries the orders.
+    """
+
+    def __init__(self, name, worker_by_vm, network):
+        self._name, self._worker_by_vm = name, worker_by_vm
+        self._network = network
+
+    async def start(self, worker, order, epoch, until):
+        """See `OrderSender.start`."""
+        target = self._worker_by_vm[worker.vm]
+        args = (target.start, order, epoch, until, self._name)
+        return await self._send(target, ORDER_TIMEOUT_S, args)
+
+    async def stop(self, worker, order, epoch):
+        """See `OrderSender.stop`."""
+        target = self._worker_by_vm[worker.vm]
+        args = (target.stop, order, epoch, self._name)
+        return await self._send(target, ORDER_TIMEOUT_S, args)
+
+    async def renew(self, worker, epoch, acknowledged, until, wait):
+        """See `OrderSender.renew`."""
+        target = self._worker_by_vm[worker.vm]
+        args = (target.renew, epoch, acknowledged, until, wait, self._name)
+        return await self._send(target, wait + RENEW_TIMEOUT_S, args)
+
+    async def _send(self, target, timeout_s, args):
+        try:
+            return await self._network.call(
+                LATENCY_S, lambda: target.handle(*args), timeout_s
+            )
+        except NoAnswer:
+            return OrderAnswer(OrderOutcome.UNKNOWN)
--- a/tests/cell/inprocess.py
+++ b/tests/cell/inprocess.py
@@ -236,13 +236,21 @@
         """Starts the entry VMs; returns once one of them owns the cell."""
         entries = [(vm, b"1") for vm in self.workers.entry_by_vm]
         await self.log.append(REGISTRY_TOPIC, entries)
-        for vm, access in self.access_by_vm.items():
-            self.member_by_vm[vm] = member = self._make_member(vm, access)
-            self._tasks.append(await curio.spawn(member.run, daemon=True))
+        for vm in self.access_by_vm:
+            await self._start_vm(vm)
         while not any(member.claims.owner for member in self.member_by_vm.values()):
             await curio.sleep(0.05)
         await curio.sleep(2.0)
 
+    async def _start_vm(self, vm):
+        member = self._make_member(vm, self.access_by_vm[vm])
+        self.member_by_vm[vm] = member
+        self._tasks.append(await self._spawn(vm, member.run))
+
+    async def _spawn(self, vm, function, *args):
+        """Spawns a task of an entry VM."""
+        return await curio.spawn(function, *args, daemon=True)
+
     async def stop(self):
         """Ends the entry VMs."""
         for member in self.member_by_vm.values():
@@ -260,14 +268,22 @@
         """Returns the names of the entry VMs that do not own the cell."""
         return [vm for vm in self.member_by_vm if vm != self.owner_vm]
 
+    def _order_sender(self, vm):
+        """Returns the way of an entry VM to the workers."""
+        return self.workers
+
+    def _journal(self, vm):
+        """Returns the event log of an entry VM."""
+        return Journal(vm)
+
     def _make_member(self, vm, access):
         dependencies = CellDependencies(
             access,
-            self.workers,
+            self._order_sender(vm),
             NoAdvisor(),
             lambda record: self.workers.entry_by_vm.get(record.key),
             Clock(),
-            Journal(vm),
+            self._journal(vm),
             Metrics(),
             CellSettings(REGISTRY_TOPIC, 6.0, 120.0),
         )
--- a/tests/cell/memorylog.py
+++ b/tests/cell/memorylog.py
@@ -27,6 +27,7 @@
         self.lost_answers = 0
         self._epoch_by_topic: dict[str, int] = {}
         self._offset_by_append: dict[tuple[str, int, int], int] = {}
+        self._sequence_by_writer: dict[tuple[str, int], int] = {}
 
     def _topic(self, topic):
         if not self.available:
@@ -55,6 +56,11 @@
             raise WriterFenced(topic)
         self._epoch_by_topic[topic] = writer.epoch
         append = (topic, writer.epoch, writer.sequence)
+        newest = self._sequence_by_writer.get(append[:2], 0)
+        if append not in self._offset_by_append and writer.sequence <= newest:
+            # A copy of an append that is too old for its first answer.
+            raise LogUnavailable("old sequence number", maybe_applied=False)
+        self._sequence_by_writer[append[:2]] = max(newest, writer.sequence)
         offset = self._offset_by_append.setdefault(append, offset)
         while len(self._offset_by_append) > REMEMBERED_APPENDS:
             del self._offset_by_append[next(iter(self._offset_by_append))]
