--- a/tests/cell/explorecell.py
+++ b/tests/cell/explorecell.py
@@ -1,7 +1,5 @@
 """A cell whose entry VMs are processes that can be paused, killed and cut off."""
 
-import itertools
-
 import curio
 
 from arbutusladder import events
@@ -83,7 +81,7 @@
         # Read by the base class when it decodes the registry.
         self.workers.entry_by_vm = {entry.vm: entry for entry in entries}
         self.process_by_vm = {}
-        self._process_numbers = itertools.count(1)
+        self._processes = []
 
     async def start(self):
         """Starts network, workers and entry VMs."""
@@ -93,7 +91,7 @@
 
     async def stop(self):
         """Ends the entry VMs, the killed ones as well."""
-        for process in self.process_by_vm.values():
+        for process in self._processes:
             process.closing = True
         self.bus.inbox_by_seat.clear()
 
@@ -104,8 +102,9 @@
             await curio.sleep(POLL_S)
 
     async def _start_vm(self, vm):
-        number = next(self._process_numbers)
-        self.process_by_vm[vm] = PausableProcess(f"{vm}{number}")
+        process = PausableProcess(f"{vm}{len(self._processes)}")
+        self._processes.append(process)
+        self.process_by_vm[vm] = process
         await super()._start_vm(vm)
 
     async def _spawn(self, vm, function, *args):
--- a/tests/cell/pausable.py
+++ b/tests/cell/pausable.py
@@ -10,6 +10,8 @@
 
 # Longer than any test.
 FOREVER_S = 1e9
+# A shorter sleep could be lost in the rounding of the time.
+MIN_SLEEP_S = 1e-6
 
 
 class PausableProcess:
@@ -62,5 +64,5 @@
     # The kernel delivers timeouts that expire meanwhile at the next wait of the task.
     allowed, task.allow_cancel = task.allow_cancel, False
     while (seconds := process.pause_s) > 0:
-        yield ("trap_sleep", seconds)
+        yield ("trap_sleep", max(MIN_SLEEP_S, seconds))
     task.allow_cancel = allowed
--- a/tests/cell/repeatable.py
+++ b/tests/cell/repeatable.py
@@ -18,6 +18,8 @@
 HASH_SEED = "0"
 MONOTONIC_START_S = 1_000.0
 WALL_START_S = 1_700_000_000.0
+# Less could be lost in the rounding of the time, which would then stand still.
+MIN_ADVANCE_S = 1e-6
 
 
 class _Clock(VirtualClock):
@@ -40,7 +42,8 @@
         """Lets the timeout pass at once."""
         if timeout is None:
             raise RuntimeError("all tasks wait without a timeout")
-        self._clock.elapsed_s += max(0.0, timeout)
+        if timeout > 0:
+            self._clock.elapsed_s += max(MIN_ADVANCE_S, timeout)
         return []
 
 
