Show a final state only once it is stored

Cause: while the log is slow the owner announces ends that it has not stored, and all entry VMs showed them. If these lose power, and the workers that list the runs as well, nobody knows the end.

Entry VMs show the stored state. They still pass announced ends on to a successor.

--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -57,11 +57,13 @@
 
     @property
     def phase(self) -> JobPhase:
-        """State shown to callers; a final state overrides a cancellation."""
+        """State shown to callers; a stored final state overrides a cancellation.
+
+        An end that is not stored is not shown: after a loss of power nobody knows it,
+        and the job runs again.
+        """
         if self.progress.state.is_final:
             return self.progress.state
-        if self.reported_end:
-            return self.reported_end
         return JobPhase.CANCELLED if self.cancelled else self.progress.state
 
 
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -565,8 +565,8 @@
     async def _announce_unstored_ends(self) -> None:
         """Tells the other entry VMs of ended jobs while the log is slow.
 
-        Otherwise callers learn of an end only once it is stored, at the end of an
-        outage. A successor learns of it from the worker or from these entry VMs.
+        They show an end only once it is stored, but pass it on to a successor, which
+        need not learn of it from a worker that may be lost.
         """
         now = self._clock.now()
         if self.writer.newest_append_s(now) < SLOW_APPEND_S:
