--- a/tests/cell/test_explore.py
+++ b/tests/cell/test_explore.py
@@ -72,11 +72,11 @@
     @pytest.mark.parametrize(
         ("mutant", "seed", "rule"),
         [
-            ("view_always_recent", 61, "UNASKED"),
+            ("view_always_recent", 144, "UNASKED"),
             ("claim_always_held", 34, "ONE"),
             ("evidence_always_valid", 91, "TWICE"),
             ("cancellations_not_repeated", 14, "UNASKED"),
-            ("workers_not_awaited", 2, "TWICE"),
+            ("workers_not_awaited", 11, "TWICE"),
         ],
     )
     def test_mutant_is_detected(self, mutant, seed, rule):
