--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -43,14 +43,19 @@
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeStore, free_port
 from tests.platform.soakworkers import SERVICE, RuleChecker, SoakWorker, keep_current
+from tests.relay import Route
 
 ROOT = Path(__file__).parents[2]
 PREFIX = "/jobs/"
+LOG_READ = b"/v1/log-read"
 GRACE_S = 6.0
 DEADLINE_MS = 3000
 ARRIVALS_PER_S = 6.0
 CANCELLED_SHARE = 0.12
 ATTEMPTS = 5
+# Longest delay of an answer of the slow store, and longest time between resets.
+SLOW_ANSWER_S = 0.6
+RESET_INTERVAL_S = 0.5
 # Seconds within which all processes must answer.
 START_TIMEOUT_S = 30.0
 # Seconds within which all jobs must end after the last fault, a bound of the sites.
@@ -92,6 +97,12 @@
     "worker_silence": (0.5, 9.0, 1),
     "late_orders": (1.0, 4.0, 1),
     "odd_entry": (0.5, 3.0, 1),
+    "owner_store_silence": (0.5, 8.0, 2),
+    "half_store_silence": (0.5, 8.0, 1),
+    "owner_reads_silence": (0.5, 8.0, 1),
+    "owner_answers_loss": (0.5, 8.0, 1),
+    "store_resets": (0.5, 3.0, 1),
+    "slow_store": (1.0, 6.0, 1),
 }
 
 
@@ -116,6 +127,9 @@
         number: Its number.
         store: Address of the store.
         directory: Directory for its settings and its log.
+
+    Attributes:
+        store_route: Its own relay to the store.
     """
 
     def __init__(self, number, store, directory):
@@ -124,14 +138,16 @@
         self._log = directory / f"{self.name}.log"
         self._settings = directory / f"{self.name}.json"
         ip = f"127.0.0.{10 + number}"
-        self.front, self.ready, peer = (f"{ip}:{free_port(ip)}" for _ in range(3))
+        addresses = (f"{ip}:{free_port(ip)}" for _ in range(4))
+        self.front, self.ready, peer, relay = addresses
+        self.store_route = Route(relay, store)
         settings = {
             "node": self.name,
             "ip": ip,
             "zone": f"z{number % 3}",
             "listen": {"front": self.front, "ready": self.ready},
             "port-range": [int(peer.rpartition(":")[2])] * 2,
-            "platform": {"address": store, "form": "log"},
+            "platform": {"address": relay, "form": "log"},
             "bounds": {"max-hold-ms": 6000, "grace-s": GRACE_S, "status_s": 120},
         }
         self._settings.write_text(json.dumps(settings))
@@ -233,6 +249,8 @@
             await curio.spawn(worker.run, daemon=True)
         for number in range(self._entry_count):
             entry = EntryProcess(number, self._store.address, self._directory)
+            relay = await curio.spawn(entry.store_route.run, daemon=True)
+            self._server_tasks.append(relay)
             entry.start()
             self._entries.append(entry)
         # The client sends the address as its host.
@@ -415,6 +433,54 @@
         await curio.sleep(fault.seconds)
         self._store.lose_replies = 0
 
+    async def inject_owner_store_silence(self, fault, entries=None):
+        """Cuts the owner off from the store."""
+        entries = entries or [self._owner()]
+        for entry in entries:
+            entry.store_route.set_fault(cut=True, silent=False)
+        await curio.sleep(fault.seconds)
+        for entry in entries:
+            entry.store_route.set_fault(cut=False, silent=False)
+
+    async def inject_half_store_silence(self, fault):
+        """Cuts half of the entry VMs off from the store; the target chooses which."""
+        half = [
+            entry
+            for number, entry in enumerate(self._entries)
+            if (number + fault.target) % 2
+        ]
+        await self.inject_owner_store_silence(fault, half)
+
+    async def inject_owner_reads_silence(self, fault):
+        """Lets reads of the owner get no answer, while its appends are served."""
+        route = self._owner().store_route
+        route.lost_request = LOG_READ
+        await curio.sleep(fault.seconds)
+        route.lost_request = None
+
+    async def inject_owner_answers_loss(self, fault):
+        """Lets the store receive calls of the owner and loses all answers."""
+        route = self._owner().store_route
+        route.loses_answers = True
+        await curio.sleep(fault.seconds)
+        route.loses_answers = False
+
+    async def inject_store_resets(self, fault):
+        """Resets the connections to the store again and again."""
+        ends_at = time.monotonic() + fault.seconds
+        while time.monotonic() < ends_at:
+            for entry in self._entries:
+                await entry.store_route.reset()
+            await curio.sleep(random.uniform(0.0, RESET_INTERVAL_S))
+
+    async def inject_slow_store(self, fault):
+        """Delays the answers of the store, each by another time."""
+        for entry in self._entries:
+            entry.store_route.answer_delay_s = SLOW_ANSWER_S
+        await curio.sleep(fault.seconds)
+        for entry in self._entries:
+            entry.store_route.answer_delay_s = 0.0
+
     async def inject_worker_crash(self, fault):
         """Crashes a worker, which starts again under its id."""
         worker = self._worker(fault)
