Soak: late appends, failing runs, kills and pauses of many, and checks of shown states

Each new check has a test that breaks its rule. A job that is shown as failed counts as ended only if a task of it has used its attempts; before, the soak had no failing runs.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import random
 import socket
 import struct
 import time
@@ -14,6 +15,8 @@
 from arbutusladder.httpserver import HttpRequest, HttpServer
 
 POLL_INTERVAL_S = 0.01
+# Shortest and longest time in seconds after which a late append is applied.
+LATE_APPEND_S = (1.0, 6.0)
 # Newest appends of a producer whose repeats get their first responses again.
 REPEATED_APPENDS = 5
 
@@ -60,6 +63,7 @@
         topics: Topics by name.
         refusal_status: HTTP status of the response to every call; 0 to serve calls.
         lose_replies: Number of the next appends that take effect but get no response.
+        late_append_share: Share of appends that are applied late and get no response.
         unresponsive: Whether calls get no response and have no effect.
         appends: Number of append calls.
         append_s: Seconds for which an append occupies its topic.
@@ -72,6 +76,7 @@
         self.topics: dict[str, FakeTopic] = {}
         self.refusal_status = 0
         self.lose_replies = 0
+        self.late_append_share = 0.0
         self.unresponsive = False
         self.appends = 0
         self.append_s = 0.0
@@ -99,6 +104,10 @@
         topic = self._topic(request.query["topic"])
         match request.path:
             case "/v1/log-append":
+                if random.random() < self.late_append_share:
+                    await curio.sleep(random.uniform(*LATE_APPEND_S))
+                    await self._append(topic, request)
+                    await curio.sleep(3600)
                 return await self._append(topic, request)
             case "/v1/log-read":
                 return await self._read(topic, request)
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -28,7 +28,8 @@
 import sys
 import tempfile
 import time
-from dataclasses import asdict, dataclass
+from collections import Counter
+from dataclasses import asdict, dataclass, replace
 from pathlib import Path
 
 import curio
@@ -42,7 +43,14 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeStore, free_port
-from tests.platform.soakworkers import SERVICE, RuleChecker, SoakWorker, keep_current
+from tests.platform.soakworkers import (
+    FINAL_STATES,
+    MAX_ATTEMPTS,
+    SERVICE,
+    RuleChecker,
+    SoakWorker,
+    keep_current,
+)
 from tests.relay import Route
 
 ROOT = Path(__file__).parents[2]
@@ -53,6 +61,12 @@
 ARRIVALS_PER_S = 6.0
 CANCELLED_SHARE = 0.12
 ATTEMPTS = 5
+# Shortest and longest time between two reads of the state of a job.
+READ_INTERVAL_S = (0.3, 1.7)
+# Seconds within which all entry VMs are killed together.
+KILL_SPREAD_S = 0.1
+FAILING_SHARE = 0.6
+LATE_APPEND_SHARE = 0.5
 # Longest delay of an answer of the slow store, and longest time between resets.
 SLOW_ANSWER_S = 0.6
 RESET_INTERVAL_S = 0.5
@@ -103,6 +117,10 @@
     "owner_answers_loss": (0.5, 8.0, 1),
     "store_resets": (0.5, 3.0, 1),
     "slow_store": (1.0, 6.0, 1),
+    "late_appends": (0.5, 4.0, 1),
+    "failing_runs": (1.0, 6.0, 2),
+    "kill_all": (0.1, 2.0, 1),
+    "half_pause": (0.3, 5.0, 2),
 }
 
 
@@ -200,7 +218,6 @@
         self._pool = HttpConnectionPool(Clock())
         self._kind_by_job: dict[str, str] = {}
         self._accepted: set[str] = set()
-        self._cancel_requested: set[str] = set()
         self._directory = directory
         self._arrivals_per_s = arrivals_per_s
         self._entry_count = entries
@@ -217,7 +234,7 @@
 
     async def _run(self):
         try:
-            await curio.spawn(keep_current, self.checker.workers, daemon=True)
+            await curio.spawn(keep_current, self.checker, daemon=True)
             await self._play()
         finally:
             for entry in self._entries:
@@ -296,12 +313,28 @@
         if not await self._try("POST", job, {"spec": "text", "steps": steps}):
             return
         self._accepted.add(job)
+        await curio.spawn(self._watch, job, daemon=True)
         if random.random() < CANCELLED_SHARE:
             await curio.sleep(random.uniform(0.0, 2.0))
-            self._cancel_requested.add(job)
+            self.checker.cancel_requested.add(job)
             if await self._try("DELETE", job):
                 self.checker.cancelled_at_by_job[job] = time.monotonic()
 
+    async def _watch(self, job):
+        """Reads the state of a job at any entry VM until it is final."""
+        while True:
+            await curio.sleep(random.uniform(*READ_INTERVAL_S))
+            if await self._read_state(job) in FINAL_STATES:
+                return
+
+    async def _read_state(self, job):
+        """Returns the state of a job as an entry VM shows it; "" without an answer."""
+        entry = random.choice(self._entries)
+        status, body = await self._request(entry.front, "GET", PREFIX + job)
+        state = json.loads(body)["state"] if status == 200 else ""
+        self.checker.show(job, state)
+        return state
+
     async def _try(self, method, job, body=None):
         """Sends a request to one entry VM after the other until it is accepted."""
         for _ in range(ATTEMPTS):
@@ -333,15 +366,12 @@
         due_at = time.monotonic() + FINISH_S
         while open_jobs and time.monotonic() < due_at:
             for job in list(open_jobs):
-                entry = random.choice(self._entries)
-                _, answer = await self._request(entry.front, "GET", PREFIX + job)
-                cancelled = job in self._cancel_requested and b'"cancelled"' in answer
-                if cancelled or b'"completed"' in answer:
+                if await self._read_state(job) in FINAL_STATES:
                     open_jobs.discard(job)
             await curio.sleep(0.2)
         self._check_claims()
         for job in open_jobs:
-            self.checker.breaks("LOST", f"{job} has not completed")
+            self.checker.breaks("LOST", f"{job} has not ended")
         for entry in self._entries:
             if not entry.running():
                 self.checker.breaks("ENDED", f"{entry.name} ended by itself")
@@ -481,6 +511,39 @@
         for entry in self._entries:
             entry.store_route.answer_delay_s = 0.0
 
+    async def inject_late_appends(self, fault):
+        """Lets the store apply some appends late, without an answer."""
+        self._store.late_append_share = LATE_APPEND_SHARE
+        await curio.sleep(fault.seconds)
+        self._store.late_append_share = 0.0
+
+    async def inject_failing_runs(self, fault):
+        """Lets workers fail a share of their runs."""
+        for worker in self.checker.workers:
+            worker.failing_share = FAILING_SHARE
+        await curio.sleep(fault.seconds)
+        for worker in self.checker.workers:
+            worker.failing_share = 0.0
+
+    async def inject_kill_all(self, fault):
+        """Kills all entry VMs, one shortly after the other."""
+        async with curio.TaskGroup() as group:
+            for entry in self._entries:
+                await group.spawn(self.inject_kill, fault, entry)
+                await curio.sleep(KILL_SPREAD_S / len(self._entries))
+
+    async def inject_half_pause(self, fault):
+        """Pauses the owner and others, half of all, for different times."""
+        draw = random.Random(fault.target)
+        owner = self._owner()
+        others = [entry for entry in self._entries if entry is not owner]
+        half = draw.sample(others, len(self._entries) // 2 - 1)
+        async with curio.TaskGroup() as group:
+            for entry in [owner, *half]:
+                seconds = fault.seconds * draw.uniform(0.2, 1.0)
+                pause = replace(fault, seconds=seconds)
+                await group.spawn(self.inject_pause, pause, entry)
+
     async def inject_worker_crash(self, fault):
         """Crashes a worker, which starts again under its id."""
         worker = self._worker(fault)
@@ -536,7 +599,7 @@
         "timeout-ms": DEADLINE_MS,
         "slo-ms": 250,
         "service": SERVICE,
-        "max-attempts": 2,
+        "max-attempts": MAX_ATTEMPTS,
         "stretch": 2.0,
     }
     return {"version": 1, "routes": [queue | {"host": host} for host in hosts]}
@@ -554,7 +617,12 @@
             shutil.rmtree(directory, ignore_errors=True)
     for line in run.checker.broken[:10]:
         print(line)
-    print(f"{run.checker.starts} starts, {len(run.checker.broken)} broken rules")
+    checker = run.checker
+    states = Counter(state for state, _ in checker.shown_by_job.values())
+    print(
+        f"{checker.starts} starts, {len(checker.broken)} broken rules; jobs shown as "
+        f"{dict(states)}; this process was {checker.longest_delay_s:.3f} s late"
+    )
     return len(run.checker.broken)
 
 
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -17,11 +17,21 @@
 LATE_ORDER_S = (0.5, 5.0)
 # Seconds after an acknowledged cancellation until which its tasks may start.
 CANCEL_S = 3.0
+# Runs of a task that may end as failed, and states in which a job stays.
+MAX_ATTEMPTS = 2
+FINAL_STATES = {"completed", "failed", "cancelled"}
+# Rule that a start breaks after its job was shown in a final state, and seconds until
+# which it may start.
+SHOWN_RULES = {
+    "completed": ("TWICE", 1.0),
+    "failed": ("SHOWN", 1.0),
+    "cancelled": ("UNASKED", CANCEL_S),
+}
 
 
 @dataclass(eq=False)
-class Done:
-    """A run that has ended as done on one incarnation of a worker."""
+class RunEnd:
+    """A run that has ended as done or failed on one incarnation of a worker."""
 
     worker: "SoakWorker"
     born: int
@@ -29,6 +39,7 @@
     ended_at: float
     acknowledged: bool = False
     lapsed: bool = False
+    failed: bool = False
 
 
 @dataclass
@@ -39,17 +50,24 @@
         workers: All workers.
         steps_by_job: Number of tasks of each step of the submitted jobs.
         cancelled_at_by_job: Monotonic time of acknowledged cancellations in seconds.
+        cancel_requested: Jobs whose cancellation was sent.
+        shown_by_job: First final state in which a client was shown a job, and the time.
         broken: One line for each time that a rule was broken.
         starts: Number of starts.
+        longest_delay_s: Longest time by which this process was late.
     """
 
     workers: list["SoakWorker"] = field(default_factory=list)
     steps_by_job: dict[str, list[int]] = field(default_factory=dict)
     cancelled_at_by_job: dict[str, float] = field(default_factory=dict)
-    done_by_task: dict[str, list[Done]] = field(default_factory=dict)
+    cancel_requested: set[str] = field(default_factory=set)
+    shown_by_job: dict[str, tuple[str, float]] = field(default_factory=dict)
+    done_by_task: dict[str, list[RunEnd]] = field(default_factory=dict)
+    failed_by_task: dict[str, list[RunEnd]] = field(default_factory=dict)
     started_at_by_task: dict[str, list[float]] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
+    longest_delay_s: float = 0.0
 
     def check_start(self, worker: "SoakWorker", task: str, number: int, late: bool):
         """Checks the rules for a run that begins."""
@@ -63,6 +81,7 @@
                 self.breaks("TWICE", f"{place} while it runs on {other.name}")
         if any(done.acknowledged for done in self.done_by_task.get(task, ())):
             self.breaks("TWICE", f"{place} after an acknowledged end as done")
+        self._check_attempts(task)
         if len(worker.running) >= CORES:
             self.breaks("LIMIT", f"{place}: all cores are in use")
         counts = self.steps_by_job.get(name.job_id) if name else None
@@ -73,19 +92,64 @@
             earlier = f"{name.job_id}.{name.occurrence}.{name.step - 1}.{index}"
             if earlier not in self.done_by_task:
                 self.breaks("ORDER", f"{place} before {earlier} was done")
-        cancelled_at = self.cancelled_at_by_job.get(name.job_id)
-        if cancelled_at and time.monotonic() > cancelled_at + CANCEL_S and not late:
-            self.breaks("UNASKED", f"{place} after its cancellation")
+        if not late:
+            self._check_late_start(place, name.job_id)
 
-    def acknowledge(self, task: str, done: Done) -> None:
+    def _check_late_start(self, place, job):
+        now = time.monotonic()
+        cancelled_at = self.cancelled_at_by_job.get(job)
+        if cancelled_at and now > cancelled_at + CANCEL_S:
+            self.breaks("UNASKED", f"{place} after its cancellation")
+        if job in self.shown_by_job:
+            state, shown_at = self.shown_by_job[job]
+            rule, limit_s = SHOWN_RULES[state]
+            if now > shown_at + limit_s:
+                after_s = now - shown_at
+                self.breaks(rule, f"{place}, {after_s:.3f} s after it was {state}")
+
+    def show(self, job: str, state: str) -> None:
+        """Records the state in which a client was shown a job, and checks its cause."""
+        if state not in FINAL_STATES:
+            return
+        self.shown_by_job.setdefault(job, (state, time.monotonic()))
+        for worker in self.workers:
+            worker.advance()
+        tasks = [
+            f"{job}.0.{step}.{index}"
+            for step, count in enumerate(self.steps_by_job[job])
+            for index in range(count)
+        ]
+        is_done = all(task in self.done_by_task for task in tasks)
+        if state == "completed" and not is_done:
+            self.breaks("MIXED", f"{job} is shown as completed and is not done")
+        has_failed = any(
+            len(self.failed_by_task.get(task, ())) >= MAX_ATTEMPTS for task in tasks
+        )
+        if state == "failed" and not has_failed:
+            self.breaks("LOST", f"{job} is shown as failed with attempts left")
+        if state == "cancelled" and job not in self.cancel_requested:
+            self.breaks("LOST", f"{job} is shown as cancelled without a request")
+
+    def acknowledge(self, task: str, end: RunEnd) -> None:
         """Records that an end is acknowledged, and checks the starts after it."""
-        if done.acknowledged or done.lapsed:
+        if end.acknowledged or end.lapsed:
+            return
+        end.acknowledged = True
+        if end.failed:
+            self._check_attempts(task)
             return
-        done.acknowledged = True
         for started_at in self.started_at_by_task[task]:
-            if started_at > done.ended_at:
+            if started_at > end.ended_at:
                 self.breaks("TWICE", f"{task} started after an end as done")
 
+    def _check_attempts(self, task):
+        ends = self.failed_by_task.get(task, ())
+        failed_at = sorted(end.ended_at for end in ends if end.acknowledged)
+        if len(failed_at) < MAX_ATTEMPTS:
+            return
+        if self.started_at_by_task[task][-1] > failed_at[MAX_ATTEMPTS - 1]:
+            self.breaks("BUDGET", f"{task} started after {MAX_ATTEMPTS} failed runs")
+
     def breaks(self, rule: str, text: str) -> None:
         """Records that a rule was broken."""
         self.broken.append(f"{rule}: {text}")
@@ -105,13 +169,14 @@
     Attributes:
         down: Whether it has crashed and not started again.
         silent: Whether nothing that is sent to it arrives.
+        failing_share: Share of runs that end as failed.
         late_share: Share of start orders that are carried out late, without an answer.
     """
 
     def __init__(self, name, store, checker, task_s):
         super().__init__(name)
         self.down = self.silent = False
-        self.late_share = 0.0
+        self.failing_share = self.late_share = 0.0
         self._store = store
         self._checker = checker
         self._task_s = task_s
@@ -193,9 +258,10 @@
         return await super()._renew_lease(body)
 
     def _acknowledge(self, row):
-        for done in self._checker.done_by_task.get(row[1], ()):
-            if done.worker is self and (done.born, done.number) == (self.born, row[0]):
-                self._checker.acknowledge(row[1], done)
+        for ends_by_task in self._checker.done_by_task, self._checker.failed_by_task:
+            for end in ends_by_task.get(row[1], ()):
+                if end.worker is self and (end.born, end.number) == (self.born, row[0]):
+                    self._checker.acknowledge(row[1], end)
 
     def _end_finished_runs(self):
         now, clock = time.monotonic(), self.clock_ms()
@@ -205,26 +271,35 @@
             lapses_at -= (clock - self.lease_end_ms) / 1000 / self.clock_rate
         for task, run in list(self.running.items()):
             if run.ends_at <= lapses_at:
-                self._end_run(task, "done")
+                has_failed = random.random() < self.failing_share
+                self._end_run(task, "failed" if has_failed else "done")
             elif lapsed:
                 self._end_run(task, "lapsed")
         if lapsed:
             self.lease_end_ms = None
-            for done in itertools.chain(*self._checker.done_by_task.values()):
-                if done.worker is self and not done.acknowledged:
-                    done.lapsed = True
+            ends = [self._checker.done_by_task, self._checker.failed_by_task]
+            for end in itertools.chain(*(e for by in ends for e in by.values())):
+                if end.worker is self and not end.acknowledged:
+                    end.lapsed = True
 
     def _end_run(self, task, end_kind):
         ends_at = self.running[task].ends_at
         super()._end_run(task, end_kind)
-        if end_kind == "done":
-            done = Done(self, self.born, self.ended[-1][0], ends_at)
-            self._checker.done_by_task.setdefault(task, []).append(done)
+        if end_kind not in {"done", "failed"}:
+            return
+        end = RunEnd(self, self.born, self.ended[-1][0], ends_at)
+        end.failed = end_kind == "failed"
+        checker = self._checker
+        by_task = checker.failed_by_task if end.failed else checker.done_by_task
+        by_task.setdefault(task, []).append(end)
 
 
-async def keep_current(workers):
+async def keep_current(checker):
     """Ends runs of all workers at their times, until cancelled."""
     while True:
-        for worker in workers:
+        for worker in checker.workers:
             worker.advance()
+        asleep_at = time.monotonic()
         await curio.sleep(POLL_INTERVAL_S)
+        delay_s = time.monotonic() - asleep_at - POLL_INTERVAL_S
+        checker.longest_delay_s = max(checker.longest_delay_s, delay_s)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -29,6 +29,26 @@
         Fault(4.0, "odd_entry", 0, 0.0),
         Fault(8.0, "odd_entry", 1, 0.0),
     ],
+    # An owner that had not read a cancellation or an end started tasks: after a pause,
+    # or while its reads got no answer, its ownership was confirmed by other entry VMs
+    # or by its own stored renewal.
+    "owner knows old records": [
+        Fault(2.0, "owner_reads_silence", 0, 5.0),
+        Fault(3.0, "failing_runs", 0, 6.0),
+        Fault(8.0, "owner_store_silence", 0, 4.0),
+        Fault(9.0, "half_pause", 1, 3.0),
+        Fault(13.0, "owner_answers_loss", 0, 4.0),
+    ],
+    # Claims, ends and cancellations were applied after their sender had given them up.
+    "appends are applied late": [
+        Fault(2.0, "late_appends", 0, 3.0),
+        Fault(4.0, "slow_store", 0, 4.0),
+        Fault(6.0, "owner_kill", 0, 0.5),
+        Fault(8.0, "late_appends", 0, 2.0),
+        Fault(9.0, "store_resets", 0, 2.0),
+        Fault(10.0, "kill_all", 0, 0.5),
+        Fault(12.0, "half_store_silence", 1, 3.0),
+    ],
     # Faults of all kinds overlap.
     "random": make_plan(1, 20.0),
 }
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -1,19 +1,49 @@
 """Tests that the checks of the fault soak notice what they look for."""
 
+import signal
 import time
+from types import SimpleNamespace
 
+import curio
 import pytest
 
 from arbutusladder.cell.claims import OWNER_TOPIC, claim_item
+from arbutusladder.httpserver import HttpRequest
 from arbutusladder.messages import CellClaim
 from tests.platform.fakes import FakeRun, FakeStore, FakeTopic
-from tests.platform.soak import FAULTS, SoakRun, make_plan
-from tests.platform.soakworkers import CANCEL_S, CORES, Done, RuleChecker, SoakWorker
+from tests.platform.soak import FAULTS, Fault, SoakRun, make_plan
+from tests.platform.soakworkers import (
+    CANCEL_S,
+    CORES,
+    MAX_ATTEMPTS,
+    RuleChecker,
+    RunEnd,
+    SoakWorker,
+)
+from tests.relay import Route
 
 JOB = "00000000000000aa"
 FIRST, SECOND = f"{JOB}.0.0.0", f"{JOB}.0.1.0"
 
 
+# Entry VMs that each fault of the ways to the store concerns.
+ALL_ENTRIES = [f"edge-{number}" for number in range(5)]
+ROUTE_FAULTS = {
+    "owner_store_silence": ["edge-3"],
+    "half_store_silence": ["edge-1", "edge-3"],
+    "owner_reads_silence": ["edge-3"],
+    "owner_answers_loss": ["edge-3"],
+    "slow_store": ALL_ENTRIES,
+}
+
+
+def route_faults(entry):
+    """Returns the faults of the way of an entry VM to the store."""
+    route = entry.store_route
+    delay_s = route.answer_delay_s
+    return route._cut, route.loses_answers, route.lost_request, delay_s
+
+
 def make_workers(count=2):
     """Returns workers with one checker, which knows a job of two steps."""
     checker = RuleChecker(steps_by_job={JOB: [1, 1]})
@@ -31,6 +61,12 @@
     worker.running[task] = FakeRun(1, now, now + seconds)
 
 
+def failed_ends(worker, count):
+    """Returns runs of a worker that have ended as failed."""
+    now = time.monotonic()
+    return [RunEnd(worker, worker.born, n, now, failed=True) for n in range(count)]
+
+
 def rules(checker):
     """Returns the names of the broken rules."""
     return [line.partition(":")[0] for line in checker.broken]
@@ -64,7 +100,7 @@
         """Guards against missing work that is done and runs again."""
         checker, (worker, other) = make_workers()
         checker.check_start(other, FIRST, 1, False)
-        done = Done(other, other.born, 1, time.monotonic())
+        done = RunEnd(other, other.born, 1, time.monotonic())
         checker.done_by_task[FIRST] = [done]
         if acknowledged_first:
             checker.acknowledge(FIRST, done)
@@ -104,6 +140,110 @@
         checker.check_start(worker, FIRST, 1, late)
         assert rules(checker) == ([] if late else ["UNASKED"])
 
+    @pytest.mark.parametrize(
+        ("state", "after_s", "late", "broken"),
+        [
+            ("completed", 1.1, False, "TWICE"),
+            ("completed", 0.9, False, None),
+            ("completed", 1.1, True, None),
+            ("failed", 1.1, False, "SHOWN"),
+            ("failed", 0.9, False, None),
+            ("failed", 1.1, True, None),
+            ("cancelled", CANCEL_S + 0.1, False, "UNASKED"),
+            ("cancelled", CANCEL_S - 0.1, False, None),
+            ("cancelled", CANCEL_S + 0.1, True, None),
+            ("executing", 9.0, False, None),
+        ],
+    )
+    def test_start_after_a_shown_end(self, state, after_s, late, broken):
+        """Guards against missing work of a job that clients take for ended."""
+        checker, (worker, other) = make_workers()
+        for task in (FIRST, SECOND):
+            run(other, task, -0.1)
+        checker.failed_by_task[FIRST] = failed_ends(other, MAX_ATTEMPTS)
+        checker.cancel_requested.add(JOB)
+        checker.show(JOB, state)
+        checker.failed_by_task.clear()
+        for job, (shown, shown_at) in checker.shown_by_job.items():
+            checker.shown_by_job[job] = shown, shown_at - after_s
+        checker.check_start(worker, FIRST, 3, late)
+        assert rules(checker) == ([broken] if broken else [])
+
+    def test_later_reads_of_a_state(self):
+        """Guards against a bound that begins anew with each read."""
+        checker, (worker, _) = make_workers()
+        checker.cancel_requested.add(JOB)
+        checker.shown_by_job[JOB] = "cancelled", time.monotonic() - CANCEL_S - 0.1
+        checker.show(JOB, "cancelled")
+        checker.check_start(worker, FIRST, 1, False)
+        assert rules(checker) == ["UNASKED"]
+
+    @pytest.mark.parametrize("done", [(), (FIRST,), (FIRST, SECOND)])
+    def test_completed_before_all_tasks_are_done(self, done):
+        """Guards against missing a job that is shown as completed too early."""
+        checker, (worker, _) = make_workers()
+        for task in done:
+            run(worker, task, -0.1)
+        checker.show(JOB, "completed")
+        assert rules(checker) == ["MIXED"] * (len(done) < 2)
+
+    @pytest.mark.parametrize("failed", range(MAX_ATTEMPTS + 1))
+    def test_failed_with_attempts_left(self, failed):
+        """Guards against missing a job that was given up too early."""
+        checker, (worker, _) = make_workers()
+        checker.failed_by_task[FIRST] = failed_ends(worker, failed)
+        checker.show(JOB, "failed")
+        assert rules(checker) == ["LOST"] * (failed < MAX_ATTEMPTS)
+
+    @pytest.mark.parametrize("requested", [True, False])
+    def test_cancelled_without_a_request(self, requested):
+        """Guards against missing a job that was cancelled by nobody."""
+        checker, _ = make_workers()
+        if requested:
+            checker.cancel_requested.add(JOB)
+        checker.show(JOB, "cancelled")
+        assert rules(checker) == ["LOST"] * (not requested)
+
+    @pytest.mark.parametrize("failed", range(1, MAX_ATTEMPTS + 1))
+    @pytest.mark.parametrize("acknowledged_first", [True, False])
+    def test_attempts(self, failed, acknowledged_first):
+        """Guards against missing a run beyond the attempts of its task."""
+        checker, (worker, other) = make_workers()
+        ends = failed_ends(other, failed)
+        checker.failed_by_task[FIRST] = ends
+        checker.started_at_by_task[FIRST] = [ends[0].ended_at - 1.0]
+        if acknowledged_first:
+            for end in ends:
+                checker.acknowledge(FIRST, end)
+        checker.check_start(worker, FIRST, failed + 1, False)
+        for end in ends:
+            checker.acknowledge(FIRST, end)
+        assert rules(checker) == ["BUDGET"] * (failed == MAX_ATTEMPTS)
+
+    def test_failed_end_that_the_lease_has_outlived(self):
+        """Guards against counting attempts that the owner cannot know."""
+        checker, (worker, other) = make_workers()
+        other.failing_share = 1.0
+        run(other, FIRST, -2.0)
+        other.lease_end_ms = other.clock_ms() - 1000
+        other.advance()
+        checker.failed_by_task[FIRST] += failed_ends(other, MAX_ATTEMPTS - 1)
+        checker.started_at_by_task[FIRST] = [time.monotonic() - 3.0]
+        for end in checker.failed_by_task[FIRST]:
+            checker.acknowledge(FIRST, end)
+        checker.check_start(worker, FIRST, 2, False)
+        assert checker.broken == []
+
+    def test_acknowledged_failed_end(self):
+        """Guards against acknowledged ends that the worker does not pass on."""
+        checker, (worker, _) = make_workers()
+        worker.failing_share = 1.0
+        run(worker, FIRST, -0.1)
+        worker.advance()
+        curio.run(worker._renew_lease, {"observed": worker.ended[0][0]})
+        assert [end.acknowledged for end in checker.failed_by_task[FIRST]] == [True]
+        assert FIRST not in checker.done_by_task
+
     def test_unknown_job(self):
         """Guards against missing work that no client has sent."""
         checker, (worker, _) = make_workers()
@@ -133,6 +273,91 @@
         assert rules(soak.checker) == ["ONE"] * broken
 
 
+class StoppedEntry:
+    """An entry VM without a process, which counts its faults."""
+
+    def __init__(self, name):
+        self.name = name
+        self.busy = False
+        self.signals: list[int] = []
+        self.store_route = Route("127.0.0.1:1", "127.0.0.1:2")
+        self.process = SimpleNamespace(send_signal=self.signals.append)
+
+    def running(self):
+        """Returns that the process has ended."""
+        return False
+
+    def start(self):
+        """Starts nothing."""
+
+    end = start
+
+
+class TestFaults:
+    """Faults that choose entry VMs themselves."""
+
+    @pytest.fixture
+    def soak(self, tmp_path):
+        """A run with five entry VMs, of which the fourth owns the cell."""
+        soak = SoakRun([], 0, 1, tmp_path)
+        soak._entries = [StoppedEntry(f"edge-{number}") for number in range(5)]
+        key, value = claim_item(CellClaim(1, "edge-3", "a:1", 0))
+        record = bytes((len(key),)) + key.encode() + value
+        soak._store.topics[OWNER_TOPIC] = FakeTopic([record])
+        return soak
+
+    def test_half_of_the_entry_vms_pause(self, soak):
+        """Guards against a pause that leaves the owner out or stops all."""
+        curio.run(soak.inject_half_pause, Fault(0.0, "half_pause", 3, 0.05))
+        paused = {entry.name for entry in soak._entries if entry.signals}
+        assert len(paused) == 2 and "edge-3" in paused
+
+    def test_all_are_killed_together(self, soak):
+        """Guards against entry VMs that outlive a loss of power."""
+        curio.run(soak.inject_kill_all, Fault(0.0, "kill_all", 0, 0.0))
+        assert [entry.signals for entry in soak._entries] == [[signal.SIGKILL]] * 5
+
+    @pytest.mark.parametrize("kind", ROUTE_FAULTS)
+    def test_ways_to_the_store_recover(self, soak, kind):
+        """Guards against a fault that reaches the wrong entry VMs or lasts on."""
+        healthy = [route_faults(entry) for entry in soak._entries]
+
+        async def play():
+            inject = getattr(soak, f"inject_{kind}")
+            task = await curio.spawn(inject, Fault(0.0, kind, 0, 0.1))
+            await curio.sleep(0.02)
+            faulty = [
+                entry.name
+                for entry, before in zip(soak._entries, healthy, strict=True)
+                if route_faults(entry) != before
+            ]
+            await task.join()
+            return faulty
+
+        assert curio.run(play) == ROUTE_FAULTS[kind]
+        assert [route_faults(entry) for entry in soak._entries] == healthy
+
+    def test_late_appends(self, monkeypatch):
+        """Guards against late appends that are answered, or are never applied."""
+        monkeypatch.setattr("tests.platform.fakes.LATE_APPEND_S", (0.1, 0.1))
+        store = FakeStore()
+        store.late_append_share = 1.0
+        topic = store.topics["t"] = FakeTopic()
+        append = HttpRequest("POST", "/v1/log-append", "", {"topic": "t"})
+        append.body = b"\0\0\0\1a"
+
+        async def play():
+            assert await curio.ignore_after(0.05, store.handle, append) is None
+            task = await curio.spawn(store.handle, append)
+            await curio.sleep(0.05)
+            assert topic.records == []
+            await curio.sleep(0.1)
+            assert topic.records == [b"a"] and not task.terminated
+            await task.cancel()
+
+        curio.run(play)
+
+
 class TestPlan:
     """Plans of faults."""
 
