--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -615,13 +615,13 @@
     finally:
         if not logs:
             shutil.rmtree(directory, ignore_errors=True)
-    for line in run.checker.broken[:10]:
+    for line in run.checker.broken[:20]:
         print(line)
     checker = run.checker
     states = Counter(state for state, _ in checker.shown_by_job.values())
     print(
         f"{checker.starts} starts, {len(checker.broken)} broken rules; jobs shown as "
-        f"{dict(states)}; this process was {checker.longest_delay_s:.3f} s late"
+        f"{dict(states)}; this process was {checker.longest_delay_s():.3f} s late"
     )
     return len(run.checker.broken)
 
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -4,6 +4,7 @@
 import random
 import time
 from dataclasses import dataclass, field
+from datetime import UTC, datetime
 
 import curio
 
@@ -17,6 +18,8 @@
 LATE_ORDER_S = (0.5, 5.0)
 # Seconds after an acknowledged cancellation until which its tasks may start.
 CANCEL_S = 3.0
+# Seconds before a broken rule in which the delays of this process may explain it.
+DELAY_PERIOD_S = 5.0
 # Runs of a task that may end as failed, and states in which a job stays.
 MAX_ATTEMPTS = 2
 FINAL_STATES = {"completed", "failed", "cancelled"}
@@ -54,7 +57,7 @@
         shown_by_job: First final state in which a client was shown a job, and the time.
         broken: One line for each time that a rule was broken.
         starts: Number of starts.
-        longest_delay_s: Longest time by which this process was late.
+        delays: Times by which this process was late, each with its monotonic time.
     """
 
     workers: list["SoakWorker"] = field(default_factory=list)
@@ -67,7 +70,7 @@
     started_at_by_task: dict[str, list[float]] = field(default_factory=dict)
     broken: list[str] = field(default_factory=list)
     starts: int = 0
-    longest_delay_s: float = 0.0
+    delays: list[tuple[float, float]] = field(default_factory=list)
 
     def check_start(self, worker: "SoakWorker", task: str, number: int, late: bool):
         """Checks the rules for a run that begins."""
@@ -151,8 +154,14 @@
             self.breaks("BUDGET", f"{task} started after {MAX_ATTEMPTS} failed runs")
 
     def breaks(self, rule: str, text: str) -> None:
-        """Records that a rule was broken."""
-        self.broken.append(f"{rule}: {text}")
+        """Records that a rule was broken, with the time for a search in the logs."""
+        at = datetime.now(UTC).isoformat(timespec="milliseconds")
+        delay_s = self.longest_delay_s(time.monotonic() - DELAY_PERIOD_S)
+        self.broken.append(f"{rule}: {text} ({at}, soak {delay_s:.3f} s late)")
+
+    def longest_delay_s(self, since: float = 0.0) -> float:
+        """Returns the longest delay of this process since a monotonic time."""
+        return max((delay_s for at, delay_s in self.delays if at >= since), default=0.0)
 
 
 class SoakWorker(FakeExecutor):
@@ -302,4 +311,4 @@
         asleep_at = time.monotonic()
         await curio.sleep(POLL_INTERVAL_S)
         delay_s = time.monotonic() - asleep_at - POLL_INTERVAL_S
-        checker.longest_delay_s = max(checker.longest_delay_s, delay_s)
+        checker.delays.append((time.monotonic(), delay_s))
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -91,9 +91,11 @@
         generation = self._generation
         if self._cut:
             await curio.sleep(STALL_S)
-        server = await curio.open_connection(*self._target)
+        # An open_connection of curio looks the address up in a thread.
+        server = curio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sockets.append(server)
         async with server, curio.TaskGroup(wait=any) as group:
+            await server.connect(self._target)
             await group.spawn(self._forward_requests, client, server, generation)
             await group.spawn(self._forward_answers, server, client, generation)
 
