--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -220,7 +220,6 @@
                 continue
             job.reported_end = state.state
             self._reported_ids.add(state.job_id)
-            self._update_indexes(state.job_id, job)
 
     def unstored_ends(self) -> list[RelayedState]:
         """Returns the reported ends that are not known to be stored."""
@@ -237,11 +236,6 @@
             return None
         return job.phase
 
-    def is_cancellation_stored(self, job_id: JobId) -> bool:
-        """Returns whether the log contains a job's cancellation or its end."""
-        job = self.job_by_id.get(job_id)
-        return job is not None and (job.cancelled or job.progress.state.is_final)
-
     def cancel_offset(self, job_id: JobId) -> int:
         """Returns the offset of a job's cancellation; -1 if none is known here."""
         job = self.job_by_id.get(job_id)
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -251,7 +251,7 @@
         phase = await self.lookup(job_id)
         if phase is None:
             return None
-        if self.table.is_cancellation_stored(job_id):
+        if phase.is_final:
             return SubmissionOutcome.ACCEPTED
         return await self._store(cancellation_item(job_id), deadline)
 
