--- a/review/standins2/world.py
+++ b/review/standins2/world.py
@@ -27,6 +27,9 @@
 LIMIT_S = 112.0
 # Starts and ends of failing services that the record holds in full.
 KEPT_ROWS = 500
+# Memory of an entry VM in MB, and seconds until the platform starts a process again.
+MEMORY_MB = 300
+RESTART_S = 0.5
 # Bounds of the site rolgeld-sched.
 BOUNDS = {
     "contact-ms": 3000,
@@ -84,7 +87,7 @@
             "limits": {
                 "cpu-share": 0.537,
                 "cores": 2,
-                "memory-mb": 300,
+                "memory-mb": MEMORY_MB,
                 "max-fds": 4100,
                 "link-mbps": 1000.0,
                 "disk-mb": 0,
@@ -172,6 +175,7 @@
         # Jobs whose tasks fail as soon as they have started.
         self.failing_jobs = set()
         self._failing_rows = 0
+        self.kills = 0
         self.starts = []
         # Ends that were taken note of: task, run, how, time of the end.
         self.noted_ends = []
@@ -280,9 +284,21 @@
         ready = [e for e in self.entries if self._ready.get(e.name, 2) < 2]
         return random.choice(ready or self.entries)
 
-    async def call(self, method, queue, job="", body=None):
-        """Sends a client's request to a node in rotation; returns status and body."""
-        entry = self._entry()
+    def follower(self):
+        """Returns a node that did not last write under a condition."""
+        return next(e for e in self.entries if e.name != self.store.last_writer)
+
+    async def call(self, method, queue, job="", body=None, entry=None):
+        """Sends a client's request; returns status and body.
+
+        Args:
+            method: HTTP method.
+            queue: Name of the queue.
+            job: Id of the job, if any.
+            body: Body to send as JSON.
+            entry: Node of the client; by default any in rotation.
+        """
+        entry = entry or self._entry()
         path = f"/{queue}/{job}"
         headers = {
             "Host": f"{queue}.example",
@@ -295,13 +311,15 @@
         )
         return status, answer
 
-    async def submit(self, queue, steps, work_s, **fields):
+    async def submit(self, queue, steps, work_s, tries=5, entry=None, **fields):
         """Hands a job in, with the retries of a client.
 
         Args:
             queue: Name of the queue.
             steps: Its steps.
             work_s: Seconds of work of each task.
+            tries: Number of attempts.
+            entry: Node of the client; by default any in rotation at each attempt.
             fields: Further fields of the job.
 
         Returns:
@@ -310,13 +328,34 @@
         job = secrets.token_hex(8)
         self.jobs[job], self.work[job] = steps, work_s
         body = {"spec": f"spec of {job}", "steps": steps} | fields
-        for _ in range(5):
-            status, _ = await self.call("POST", queue, job, body)
+        for _ in range(tries):
+            status, _ = await self.call("POST", queue, job, body, entry)
             if status // 100 == 2:
                 return job
             await asyncio.sleep(1.0)
         raise CannotRun(f"{job} was not accepted")
 
+    async def submit_patiently(self, queue, steps, work_s):
+        """Hands a job in; returns an empty id if all attempts were in vain."""
+        try:
+            return await self.submit(queue, steps, work_s, tries=3)
+        except CannotRun as error:
+            self.record(error)
+            return ""
+
+    async def enforce_memory(self):
+        """Kills each process over its memory, as the platform does; starts it again."""
+        while True:
+            for entry in self.entries:
+                size_mb = entry.resident_mb()
+                if not entry.running() or size_mb > MEMORY_MB:
+                    self.record(entry.name, f"ended or killed with {size_mb:.0f} MB")
+                    self.kills += 1
+                    entry.end()
+                    await asyncio.sleep(RESTART_S)
+                    entry.start()
+            await asyncio.sleep(0.1)
+
     async def state(self, queue, job):
         """Returns the state of a job; empty without an answer."""
         _, answer = await self.call("GET", queue, job)
