Messages for teams, the version of the configuration and start forecasts

The team of a job is stored with its submission and its progress, and the owner's heartbeat names the newest configuration and the expected waits. No code uses the fields yet; the defaults keep records of earlier versions readable.

--- a/arbutusladder/cell/interfaces.py
+++ b/arbutusladder/cell/interfaces.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 
 from arbutusladder.cell.states import EndKind, OrderOutcome
-from arbutusladder.ids import Epoch, FencingToken, VmId
-from arbutusladder.messages import AdviceReply, Resources
+from arbutusladder.ids import Epoch, FencingToken, TeamName, VmId
+from arbutusladder.messages import AdviceReply, Resources, TeamTerms
 
 
 @dataclass(frozen=True)
@@ -38,6 +38,18 @@
     next_offset: int
 
 
+@dataclass(frozen=True)
+class TeamLimits:
+    """Shares and limits of the teams by the configurations that may be in force.
+
+    Attributes:
+        terms_by_name: Terms of each team, with the lowest cap of these configurations;
+            empty where callers belong to no teams.
+    """
+
+    terms_by_name: dict[TeamName, TeamTerms] = field(default_factory=dict)
+
+
 class OffsetDeleted(Exception):
     """The records at an offset are deleted.
 
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -27,6 +27,7 @@
     LogBatch,
     OffsetDeleted,
     OrderSender,
+    TeamLimits,
     WorkerEntry,
 )
 from arbutusladder.cell.joblimits import JobLimits
@@ -131,6 +132,7 @@
         journal: Event log.
         metrics: Counters and timings.
         settings: Settings of the cell.
+        teams: Returns the shares and limits of the teams now.
     """
 
     log: KeyedLog
@@ -141,6 +143,7 @@
     journal: Journal
     metrics: Metrics
     settings: CellSettings
+    teams: Callable[[], TeamLimits] = TeamLimits
 
 
 class Member:
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -468,6 +468,10 @@
     """
     Occurrences of which all tasks are done, in order; stages names none of them.
     """
+    team: TeamName = ""
+    """
+    Team of the job, also once its submission is deleted; empty without one.
+    """
 
 
 @dataclass
@@ -764,6 +768,14 @@
     """
     Offset in the jobs topic before which the owner knows all records.
     """
+    config_version: int = 0
+    """
+    Newest version of the configuration that the owner knows; 0 before the first.
+    """
+    forecast: StartForecast = field(default_factory=lambda: StartForecast())
+    """
+    When new jobs would start; empty if nothing is known of that.
+    """
 
 
 @dataclass
@@ -1004,6 +1016,15 @@
     """
 
 
+@dataclass
+class StartForecast:
+    """
+    Summary of the expected waits of new jobs. Queues that it does not contain have room.
+    """
+
+    rows: list[StartWait] = field(default_factory=list)
+
+
 @dataclass
 class StartResult:
     """
@@ -1032,6 +1053,27 @@
     attempt: int = 1
 
 
+@dataclass
+class StartWait:
+    """
+    Expected wait of a new job until its first tasks start.
+    """
+
+    service: str
+    priority: int
+    """
+    Priority of the queue.
+    """
+    wait_s: float
+    """
+    Seconds.
+    """
+    team: TeamName = ""
+    """
+    Team that waits this long; empty for all others.
+    """
+
+
 @dataclass
 class StepSpec:
     """
@@ -1195,6 +1237,10 @@
     """
     Wall clock time of the submission in seconds.
     """
+    team: TeamName = ""
+    """
+    Team of the caller; empty where callers need no key.
+    """
     times: int = 0
     """
     Occurrences of a scheduled job; 0 for a job that runs once.
@@ -1233,6 +1279,23 @@
     tasks: list[TaskId]
 
 
+@dataclass
+class TeamTerms:
+    """
+    Share and limit of a team in one version of the configuration.
+    """
+
+    name: TeamName
+    weight: float = 1.0
+    """
+    Weight of the team when teams compete for room.
+    """
+    cap: Resources = field(default_factory=lambda: Resources())
+    """
+    Resources that the team may have running across all workers; 0 for no limit.
+    """
+
+
 @dataclass
 class VmList:
     """
