Share usage and limits of teams between both schedulers

The cell is to account for teams as the native interface does. The arithmetic of usage, limits and dominant share moves from quotas.py to teamshares.py; TeamShares keeps its interface and its quotas.

--- a/arbutusladder/quotas.py
+++ b/arbutusladder/quotas.py
@@ -16,6 +16,7 @@
 from arbutusladder.messages import Resources
 from arbutusladder.resources import EPSILON, add, fits, subtract
 from arbutusladder.states import Reason, Urgency
+from arbutusladder.teamshares import TeamUsage, exceeds_limit, weighted_share
 
 # Dominant shares are rounded down to multiples of this fraction. Teams with equal
 # rounded shares are ordered by task size or arrival.
@@ -24,7 +25,7 @@
 AGING_STEPS = 4
 
 
-class TeamShares:
+class TeamShares(TeamUsage):
     """Usage of each team relative to its quota.
 
     A quota of zero means no limit for that resource; the share is then relative to
@@ -32,17 +33,8 @@
     """
 
     def __init__(self, teams_by_name: dict[TeamName, Team]):
+        super().__init__()
         self.teams_by_name = teams_by_name
-        self.used_by_team: dict[TeamName, Resources] = {}
-
-    def adjust(self, team: TeamName, amount: Resources) -> None:
-        """Adds an amount, which may be negative, to the usage of a team."""
-        used = self.used_by_team.get(team)
-        self.used_by_team[team] = add(used, amount) if used else amount
-
-    def used(self, team: TeamName) -> Resources:
-        """Returns the usage of a team."""
-        return self.used_by_team.get(team) or Resources()
 
     def share(self, team: TeamName, total: Resources) -> float:
         """Returns the dominant share of a team divided by its weight."""
@@ -50,18 +42,15 @@
         if used is None:
             return 0.0
         declared = self.teams_by_name.get(team)
-        quota = declared.quota if declared else None
-        weight = declared.weight if declared else 1.0
-        cpu = quota.cpu if quota and quota.cpu else total.cpu
-        memory = quota.memory_mb if quota and quota.memory_mb else total.memory_mb
-        accelerators = quota.accelerators if quota else 0
-        accelerators = accelerators or total.accelerators
-        shares = (
-            used.cpu / cpu if cpu > 0 else 0.0,
-            used.memory_mb / memory if memory > 0 else 0.0,
-            used.accelerators / accelerators if accelerators > 0 else 0.0,
+        if declared is None:
+            return weighted_share(used, total, 1.0)
+        quota = declared.quota
+        whole = Resources(
+            quota.cpu or total.cpu,
+            quota.memory_mb or total.memory_mb,
+            quota.accelerators or total.accelerators,
         )
-        return max(0.0, *shares) / weight
+        return weighted_share(used, whole, declared.weight)
 
     def exceeds(self, team: TeamName, need: Resources, empty: bool = False) -> bool:
         """Returns whether a need would exceed the quota of a team.
@@ -72,17 +61,8 @@
         declared = self.teams_by_name.get(team)
         if declared is None:
             return False
-        quota = declared.quota
         used = Resources() if empty else self.used(team)
-        return (
-            _exceeds_limit(used.cpu + need.cpu, quota.cpu)
-            or _exceeds_limit(used.memory_mb + need.memory_mb, quota.memory_mb)
-            or _exceeds_limit(used.accelerators + need.accelerators, quota.accelerators)
-        )
-
-
-def _exceeds_limit(amount: float, limit: float) -> bool:
-    return limit > 0 and amount > limit + EPSILON
+        return exceeds_limit(used, need, declared.quota)
 
 
 class ClassShares:
