Break the import circle of jobs and steps

Steps named their job only for annotations, which needed a circular import. What steps know of their job is now JobState, from which Job derives; the module of jobs imports that of steps and not the reverse.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -1,10 +1,9 @@
 """Jobs in the owner's state, with the steps of their open occurrences."""
 
-from __future__ import annotations
-
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.joblimits import JobLimits
+from arbutusladder.cell.jobstate import JobState
 from arbutusladder.cell.occurrences import FinishedOccurrences
 from arbutusladder.cell.stages import (
     Stage,
@@ -13,8 +12,6 @@
     stage_key,
     stage_progress,
 )
-from arbutusladder.cell.states import JobPhase
-from arbutusladder.ids import JobId
 from arbutusladder.messages import JobProgress, SubmittedJob
 
 # Number of workers in the advice call that a job's time objective allows for.
@@ -24,37 +21,22 @@
 
 
 @dataclass(slots=True, eq=False)
-class Job:
-    """A job in the owner's state.
+class Job(JobState):
+    """A job in the owner's state, with the steps of its open occurrences.
 
     Attributes:
-        record: The submission.
-        accepted_at: Monotonic time of the submission in seconds.
-        inherited: Whether a previous owner may have started tasks of it.
         stage_by_key: Steps of the open occurrences by key.
-        objective_at: Monotonic time in seconds by which the job should be done.
-        first_due_at: Monotonic time in seconds at which the first occurrence is due.
         limits: Limits of its size.
         finished: Occurrences of which all tasks are done.
         open_occurrences: Occurrences whose steps are in memory: those that are due, as
             far as the limits allow, those that a worker has reported, and finished ones
             with runs that have not ended.
-        remaining_s_by_step: Estimated seconds from the start of a step to the end of
-            its occurrence.
     """
 
-    record: SubmittedJob
-    accepted_at: float
-    phase: JobPhase = JobPhase.QUEUED
-    inherited: bool = False
-    cancelled: bool = False
     stage_by_key: dict[str, Stage] = field(default_factory=dict)
-    objective_at: float = 0.0
-    first_due_at: float = 0.0
     limits: JobLimits = JobLimits()
     finished: FinishedOccurrences = field(default_factory=FinishedOccurrences)
     open_occurrences: set[int] = field(default_factory=set)
-    remaining_s_by_step: list[float] = field(default_factory=list)
     _next_occurrence: int = 0
     _max_open: int = 1
 
@@ -62,30 +44,11 @@
         self.remaining_s_by_step = remaining_s_by_step(self.record)
         self._max_open = self.limits.max_open_occurrences(self.record)
 
-    @property
-    def id(self) -> JobId:
-        """Id of the job."""
-        return self.record.job_id
-
-    @property
-    def is_long_running(self) -> bool:
-        """Whether it has a step that runs until the job is cancelled."""
-        return any(step.lasting for step in self.record.steps)
-
-    @property
-    def occurrence_count(self) -> int:
-        """Number of occurrences; 1 for a job without a schedule."""
-        return max(1, self.record.times)
-
     @property
     def is_done(self) -> bool:
         """Whether all occurrences have finished."""
         return len(self.finished) == self.occurrence_count
 
-    def due_at(self, occurrence: int) -> float:
-        """Returns the monotonic time in seconds at which an occurrence is due."""
-        return self.first_due_at + occurrence * self.record.interval_s
-
     def open_due_occurrences(self, now: float) -> None:
         """Opens occurrences that are due, in order, up to the limit.
 
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -634,7 +634,7 @@
         stage = self._stage_of(run)
         if stage and run in stage.tasks[run.index].runs:
             stage.tasks[run.index].runs.remove(run)
-            stage.job.drop_if_ended(stage.occurrence)
+            self.job_by_id[run.job_id].drop_if_ended(stage.occurrence)
         return stage
 
     def _handle_rejected_start(
@@ -662,7 +662,8 @@
 
         Other runs of the task are stopped. Long-running tasks never count as done.
         """
-        if stage.spec.lasting or stage.occurrence in stage.job.finished:
+        job = self.job_by_id[stage.job.id]
+        if stage.spec.lasting or stage.occurrence in job.finished:
             return
         finished = range(len(stage.tasks)) if stage.spec.gang else (index,)
         for number in finished:
@@ -671,7 +672,6 @@
             if not stage.spec.gang:
                 for run in task.runs:
                     run.stop_wanted = True
-        job = stage.job
         job.finish_if_done(stage.occurrence)
         if job.is_done:
             self._finish(job, JobPhase.COMPLETED)
@@ -692,7 +692,7 @@
         failures = len(task.failed_runs)
         max_attempts = stage.job.record.queue.max_attempts
         if failures >= max_attempts and not task.done:
-            self._finish(stage.job, JobPhase.FAILED)
+            self._finish(self.job_by_id[stage.job.id], JobPhase.FAILED)
         elif stage.spec.gang:
             self.stop_runs(stage)
 
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -1,11 +1,9 @@
 """Steps of the occurrences of jobs in the owner's state, with their tasks."""
 
-from __future__ import annotations
-
 import math
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
 
+from arbutusladder.cell.jobstate import JobState
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.states import WaitCause
@@ -17,9 +15,6 @@
     StepSpec,
 )
 
-if TYPE_CHECKING:
-    from arbutusladder.cell.celljobs import Job
-
 # Seconds for which the expected duration of a step is not computed again.
 DURATION_VALIDITY_S = 0.5
 # Longest time in seconds without progress until a run is moved.
@@ -129,7 +124,7 @@
     """
 
     key: str
-    job: Job
+    job: JobState
     occurrence: int
     step: int
     spec: StepSpec
