Keep each team within its cap

A team could take the whole cell. TeamLedger charges the team of each run with the full need of its step, from before its order is sent to its proven end, and the plans of gangs; the placement starts nothing above a cap, and a submission that can never start is refused with 422. After a takeover, tasks that workers without a report may run are charged as well. A plan is now also released when a late end completes its gang, which left the workers' resources reserved until the job ended.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -12,6 +12,7 @@
     stage_key,
     stage_progress,
 )
+from arbutusladder.cell.states import JobPhase
 from arbutusladder.messages import JobProgress, SubmittedJob
 
 # Number of workers in the advice call that a job's time objective allows for.
@@ -133,6 +134,40 @@
         return JobProgress(self.phase, stages, self.finished.ranges())
 
 
+def create_job(
+    record: SubmittedJob,
+    phase: JobPhase,
+    now: float,
+    inherited: bool,
+    wall_offset: float,
+    limits: JobLimits,
+) -> Job:
+    """Returns a job without the steps of its occurrences.
+
+    Args:
+        record: The submission.
+        phase: Its stored state.
+        now: Monotonic time in seconds.
+        inherited: Whether a previous owner may have started tasks of it.
+        wall_offset: Wall clock time less monotonic time in seconds.
+        limits: Limits of its size.
+    """
+    # Wall clocks of entry VMs differ and may jump, so the stored submission time is
+    # used only for jobs that another owner accepted.
+    accepted_at = min(now, record.accepted_at - wall_offset) if inherited else now
+    queue = record.queue
+    objective_s = queue.stretch * critical_path_s(record) + queue.objective_s
+    return Job(
+        record,
+        accepted_at,
+        phase,
+        inherited,
+        objective_at=accepted_at + objective_s,
+        first_due_at=record.first_at - wall_offset if record.times else accepted_at,
+        limits=limits,
+    )
+
+
 def critical_path_s(record: SubmittedJob) -> float:
     """Returns the estimated duration of the critical path of a job's steps.
 
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -10,7 +10,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceDemand
-from arbutusladder.cell.celljobs import Job, critical_path_s
+from arbutusladder.cell.celljobs import Job, create_job
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
     StartOrder,
@@ -25,11 +25,12 @@
 from arbutusladder.cell.stages import Stage, stage_key
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
+from arbutusladder.cell.teamusage.ledger import TeamLedger
 from arbutusladder.cell.unreported import UnreportedWorkers
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, longest_lease_s
 from arbutusladder.errors import JobTooLarge
 from arbutusladder.events import Event
-from arbutusladder.ids import JobId, VmId
+from arbutusladder.ids import JobId, TeamName, VmId
 from arbutusladder.messages import (
     AdviceReply,
     JobProgress,
@@ -56,6 +57,7 @@
         wall_offset: Wall clock time less monotonic time in seconds.
         task_need: Returns the resource requirements of a task by its name, also for
             finished jobs; None if they are unknown.
+        job_team: Returns the team of a job, also of a finished one; empty without one.
 
     Attributes:
         job_by_id: Unfinished jobs, and finished ones that still have runs or whose
@@ -76,13 +78,18 @@
         listed_expiring_vms: Those of them whose leases the claim says to end soon, so
             that they must not be extended.
         advice_demand: Demand of the steps with a call for advice in progress.
+        team_ledger: Charges of the teams for what they may have running.
         changes: Changes that are not logged or stored yet.
     """
 
     def __init__(
-        self, wall_offset: float, task_need: Callable[[str], Resources | None]
+        self,
+        wall_offset: float,
+        task_need: Callable[[str], Resources | None],
+        job_team: Callable[[JobId], TeamName] = lambda job_id: TeamName(""),
     ):
         self.task_need = task_need
+        self.job_team = job_team
         self._wall_offset = wall_offset
         self.job_by_id: dict[JobId, Job] = {}
         self.worker_by_vm: dict[VmId, Worker] = {}
@@ -94,6 +101,7 @@
         self.listed_silent_vms: set[VmId] = set()
         self.listed_expiring_vms: set[VmId] = set()
         self.advice_demand = AdviceDemand()
+        self.team_ledger = TeamLedger()
         self.changes = PendingChanges()
         self._token_number_by_vm: dict[VmId, int] = {}
         self._report_processor = ReportProcessor(self)
@@ -118,26 +126,8 @@
         Returns:
             The job.
         """
-        # Wall clocks of entry VMs differ and may jump, so the stored submission time
-        # is used only for jobs that another owner accepted.
-        accepted_at = now
-        if inherited:
-            accepted_at = min(now, record.accepted_at - self._wall_offset)
-        first_due_at = accepted_at
-        if record.times:
-            first_due_at = record.first_at - self._wall_offset
-        job = Job(
-            record,
-            accepted_at,
-            progress.state,
-            inherited,
-            first_due_at=first_due_at,
-            limits=self.job_limits,
-        )
-        queue = record.queue
-        critical_path = critical_path_s(record)
-        job.objective_at = (
-            accepted_at + queue.stretch * critical_path + queue.objective_s
+        job = create_job(
+            record, progress.state, now, inherited, self._wall_offset, self.job_limits
         )
         self.job_by_id[job.id] = job
         try:
@@ -510,15 +500,21 @@
         for worker in workers:
             if worker:
                 worker.release(stage.spec.need)
+        self.team_ledger.release_plan(stage)
         stage.plan = []
         return workers
 
     def remove_finished_jobs(self) -> None:
-        """Removes finished jobs that have no runs and whose progress is stored."""
+        """Removes finished jobs that have no runs and whose progress is stored.
+
+        A job of a team is kept while a worker without a report may still run it.
+        """
         unstored = self.changes.dirty | self.changes.storing
         for job in list(self.job_by_id.values()):
             stored = job.phase.is_final and job.id not in unstored
-            if stored and not any(s.active_runs for s in job.stage_by_key.values()):
+            if not stored or (job.team and self.is_blocked(job)):
+                continue
+            if not any(s.active_runs for s in job.stage_by_key.values()):
                 del self.job_by_id[job.id]
 
     def record_event(self, event: Event, **fields: object) -> None:
@@ -567,22 +563,29 @@
             stage.key,
             index,
             vm,
-            stage.spec.need if not stage.spec.fills else _memory_only(stage),
+            stage.reserved_need,
             phase,
             now,
             from_start=phase is RunPhase.SENT,
             progressed_at=now,
             observed_at=now,
             lasting=stage.spec.lasting,
+            team=stage.job.team,
+            charge=stage.spec.need,
         )
         task = stage.tasks[index]
         task.runs.append(run)
         task.last_run = max(task.last_run, number)
-        self.worker_by_vm[vm].add_run(run)
+        self.add_run(run)
         if phase is RunPhase.RUNNING:
             self.record_begin(run)
         return run
 
+    def add_run(self, run: Run) -> None:
+        """Adds a run to its worker and charges its team."""
+        self.worker_by_vm[run.vm].add_run(run)
+        self.team_ledger.charge(run)
+
     def record_begin(self, run: Run) -> None:
         """Records that a worker has accepted or reported a run.
 
@@ -630,7 +633,9 @@
         Returns:
             The step of the run, or None if its job is not in the state.
         """
-        worker.remove_run(run)
+        if run.key in worker.run_by_key:
+            worker.remove_run(run)
+            self.team_ledger.release(run)
         stage = self._stage_of(run)
         if stage and run in stage.tasks[run.index].runs:
             stage.tasks[run.index].runs.remove(run)
@@ -665,6 +670,7 @@
         job = self.job_by_id[stage.job.id]
         if stage.spec.lasting or stage.occurrence in job.finished:
             return
+        self.release_plan(stage)
         finished = range(len(stage.tasks)) if stage.spec.gang else (index,)
         for number in finished:
             task = stage.tasks[number]
@@ -738,9 +744,3 @@
             job.open_occurrence(name.occurrence)
         key = stage_key(name.job_id, name.occurrence, name.step)
         return self.stage(key), name.index
-
-
-def _memory_only(stage: Stage) -> Resources:
-    """Returns the requirements without cores, for tasks that use only idle cores."""
-    need = stage.spec.need
-    return Resources(0.0, need.memory_mb, need.accelerators)
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -11,7 +11,7 @@
 from arbutusladder.cell.interfaces import KeyedRecord, LogBatch
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
-from arbutusladder.ids import JobId
+from arbutusladder.ids import JobId, TeamName
 from arbutusladder.messages import (
     JobProgress,
     RelayedState,
@@ -254,6 +254,13 @@
         step = self._find_step(task)
         return step.need if step else None
 
+    def job_team(self, job_id: JobId) -> TeamName:
+        """Returns the team of a job; empty without one or for an unknown job."""
+        job = self.job_by_id.get(job_id)
+        if job is None:
+            return TeamName("")
+        return job.record.team if job.record else job.progress.team
+
     def _find_step(self, task: str) -> StepSpec | None:
         name = parse_task_name(task)
         job = self.job_by_id.get(name.job_id) if name else None
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -20,6 +20,7 @@
 )
 from arbutusladder.cell.claimmanager import ClaimManager
 from arbutusladder.cell.forwardinglog import ForwardingLog
+from arbutusladder.cell.indoubt import InDoubtKeys
 from arbutusladder.cell.interfaces import (
     Advisor,
     KeyedLog,
@@ -45,6 +46,7 @@
 from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.cell.states import JobPhase, JobsSource, SubmissionOutcome
 from arbutusladder.cell.storedcancellations import StoredCancellations
+from arbutusladder.cell.teamusage.caps import check_caps
 from arbutusladder.cell.topicview import TopicView
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -83,9 +85,6 @@
 HELLO_INTERVAL_S = 0.5
 # Seconds between hellos until the owner has sent the list of members.
 INITIAL_HELLO_INTERVAL_S = 0.1
-# Seconds for which an append without an answer may still take effect; the faults that
-# the bench injects delay one by up to 12 s.
-IN_DOUBT_PERIOD_S = 15.0
 # Entry VMs to which connections are kept for forwarding calls of the log.
 MAX_FORWARDING_MEMBERS = 3
 # Seconds before a read of the log is repeated after a failure.
@@ -192,7 +191,7 @@
         self._list_version = ""
         self._owner_reaches_log = True
         self._store_call_seats: set[SeatId] = set()
-        self._in_doubt_until_by_key: dict[str, float] = {}
+        self._in_doubt = InDoubtKeys()
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
         self.jobs_view = TopicView()
@@ -244,6 +243,7 @@
 
         Raises:
             JobTooLarge: The job exceeds a limit of `arbutusladder.cell.joblimits`.
+            JobExceedsCap: A step can never run below the cap of its team.
         """
         if self.table.phase(record.job_id) is not None:
             return SubmissionOutcome.ACCEPTED
@@ -251,6 +251,8 @@
         limits = self._dependencies.settings.job_limits
         limits.check_submission(len(item[1]))
         limits.check_tasks(record)
+        if not self._in_doubt.contains(item[0], self._clock.now()):
+            check_caps(record, self._dependencies.teams())
         return await self._store(item, deadline)
 
     async def cancel(self, job_id: JobId, deadline: float) -> SubmissionOutcome | None:
@@ -272,8 +274,7 @@
     async def _store(
         self, item: tuple[str, bytes], deadline: float
     ) -> SubmissionOutcome:
-        in_doubt_until = self._in_doubt_until_by_key.get(item[0], 0.0)
-        in_doubt = self._clock.now() < in_doubt_until
+        in_doubt = self._in_doubt.contains(item[0], self._clock.now())
         return await self.appender.store(item, deadline, in_doubt)
 
     async def on_in_doubt(self, keys: list[str]) -> None:
@@ -282,18 +283,11 @@
         Otherwise another entry VM could answer a client's retry with "not stored"
         although the job runs once the first append takes effect.
         """
-        self._mark_in_doubt(keys)
+        self._in_doubt.add(keys, self._clock.now())
         for member in self.members:
             await self.peers.connect(SeatId(member.vm), member.listen)
             await self.peers.send(SeatId(member.vm), JobsInDoubt(keys))
 
-    def _mark_in_doubt(self, keys: list[str]) -> None:
-        now = self._clock.now()
-        for key, until in list(self._in_doubt_until_by_key.items()):
-            if now > until:
-                del self._in_doubt_until_by_key[key]
-        self._in_doubt_until_by_key.update(dict.fromkeys(keys, now + IN_DOUBT_PERIOD_S))
-
     async def lookup(self, job_id: JobId) -> JobPhase | None:
         """Returns the state of a job; reads the log if the job is not known yet.
 
@@ -583,7 +577,7 @@
                     JobsSource.RELAY,
                 )
             case JobsInDoubt() as doubt:
-                self._mark_in_doubt(doubt.keys)
+                self._in_doubt.add(doubt.keys, self._clock.now())
             case EndedJobs() as ended:
                 self.table.apply_reported_ends(ended.states)
             case ProgressRelay() as relay:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import replace
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -137,7 +137,9 @@
         self._clock = dependencies.clock
         self._log = member.log
         now = self._clock.now()
-        self.state = CellState(self._clock.wall_time() - now, member.table.task_need)
+        self.state = CellState(
+            self._clock.wall_time() - now, member.table.task_need, member.table.job_team
+        )
         self.state.recorded_vms = recorded_vms or frozenset()
         self._inherited_vms = recorded_vms
         self.state.max_lease_s = dependencies.settings.max_lease_s
@@ -400,15 +402,12 @@
         return max(0.0, newest_s - APPEND_WAKEUPS * self._timer_delay_s)
 
     def _log_load(self) -> None:
-        load = self._placer.load
+        for team in self._placer.cap_waits.teams:
+            self._dependencies.metrics.count(f"cap_waits.{team}")
         usage = self.advice_dispatcher.take_usage()
         self._dependencies.journal.write(
             events.OWNER_LOAD,
-            jobs=load.jobs,
-            waiting=load.waiting,
-            free=load.free,
-            total=load.total,
-            open=load.open,
+            **asdict(self._placer.load),
             workers=len(self.state.worker_by_vm),
             advising=self.advice_dispatcher.calls_in_progress,
             advised=usage.calls,
@@ -531,6 +530,7 @@
 
     def _decide(self, now: float) -> list[Order]:
         if self.may_start_tasks():
+            self.state.team_ledger.limits = self._dependencies.teams()
             capacity = self.advice_dispatcher.available_capacity(now)
             return self._placer.decide(now, capacity, self._view_age_s())
         return self._placer.due_stops(now) if self.may_give_orders() else []
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -4,17 +4,21 @@
 the calls to the advice service that waiting steps need.
 """
 
-import math
-from dataclasses import dataclass
-
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceCapacity, select_advice_workers
 from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.decisionround import (
+    DecisionRound,
+    LoadSummary,
+    nonurgent_cpu_by_service,
+    service_of,
+)
 from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import RunPhase, WaitCause
 from arbutusladder.cell.steppriority import is_urgent, priority_key
+from arbutusladder.cell.teamusage.capwaits import CapWaits
 from arbutusladder.cell.workers import Worker
 from arbutusladder.cell.workerselection import (
     fits_idle_workers,
@@ -31,8 +35,6 @@
 from arbutusladder.messages import Resources
 from arbutusladder.resources import fits
 
-# Share of the cores of each service that is reserved for urgent tasks.
-URGENT_RESERVE = 0.06
 # Waiting gangs that may reserve workers at the same time.
 MAX_RESERVING_GANGS = 2
 # Seconds for which a waiting gang reserves workers, and of the pause that follows.
@@ -48,61 +50,6 @@
 Order = StartOrder | StopOrder | AdviceOrder
 
 
-@dataclass
-class DecisionRound:
-    """State shared by the placements of one round of decisions.
-
-    Attributes:
-        now: Monotonic time in seconds.
-        available_workers: Workers that accept new tasks.
-        nonurgent_cpu_by_service: Free cores of each service that non-urgent tasks may
-            still use.
-        advice: Calls to the advice service that may still begin.
-        reserved_vms: Workers reserved for a waiting gang.
-        reserving_gangs: Number of gangs that have reserved workers.
-        sound_services: Services with a waiting step whose runs do not fail everywhere.
-            Workers on trial are left to these steps.
-    """
-
-    now: float
-    available_workers: list[Worker]
-    nonurgent_cpu_by_service: dict[str, float]
-    advice: AdviceCapacity
-    reserved_vms: set[VmId]
-    reserving_gangs: int = 0
-    sound_services: frozenset[str] = frozenset()
-
-    def available_cpu(self, stage: Stage) -> float:
-        """Returns the number of cores that a step may still use."""
-        if is_urgent(stage):
-            return math.inf
-        return self.nonurgent_cpu_by_service.get(_service(stage), 0.0)
-
-    def consume_cpu(self, stage: Stage, cores: float) -> None:
-        """Deducts cores that a step uses; those of urgent steps are not limited."""
-        if not is_urgent(stage):
-            self.nonurgent_cpu_by_service[_service(stage)] -= cores
-
-
-@dataclass(frozen=True)
-class LoadSummary:
-    """Load of the cell in a round of decisions.
-
-    Attributes:
-        jobs: Jobs in the state.
-        waiting: Steps that were ready to start.
-        free: Free cores of workers that accepted tasks.
-        total: Cores of workers that accepted tasks.
-        open: Number of workers that accepted tasks.
-    """
-
-    jobs: int = 0
-    waiting: int = 0
-    free: float = 0.0
-    total: float = 0.0
-    open: int = 0
-
-
 class Placer:
     """Decides which orders to send to workers and the advice service.
 
@@ -111,11 +58,13 @@
 
     Attributes:
         load: Load of the cell in the last round of decisions.
+        cap_waits: Teams that wait for their caps.
     """
 
     def __init__(self, cell: CellState):
         self._cell = cell
         self.load = LoadSummary()
+        self.cap_waits = CapWaits()
         self._last_round_at: float | None = None
 
     def decide(
@@ -144,14 +93,14 @@
         ]
         total = sum(worker.entry.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
+        self._charge_inherited_jobs()
         waiting = self._waiting_stages(now)
-        sound = {_service(stage) for stage in waiting if not stage.is_failing}
+        sound = {service_of(stage) for stage in waiting if not stage.is_failing}
         this_round = DecisionRound(
             now,
             workers,
-            _nonurgent_cpu_by_service(workers),
+            nonurgent_cpu_by_service(workers),
             advice,
-            set(),
             sound_services=frozenset(sound),
         )
         since_last_round_s = now - (self._last_round_at or now)
@@ -172,13 +121,22 @@
                     view=view_age_s,
                 )
             else:
-                cause = _wait_cause(stage)
+                cause = _wait_cause(stage, this_round)
                 stage.record_wait(cause, since_last_round_s)
+        for event, fields in self.cap_waits.finish_round(self._cell.team_ledger, now):
+            self._cell.record_event(event, **fields)
         self.load = LoadSummary(
             len(self._cell.job_by_id), len(waiting), free, total, len(workers)
         )
         return orders
 
+    def _charge_inherited_jobs(self) -> None:
+        """Charges the teams for what workers without a report may run."""
+        ledger = self._cell.team_ledger
+        waits = ledger.has_teams and self._cell.unreported
+        jobs = self._cell.job_by_id.values() if waits else ()
+        ledger.set_inherited(job for job in jobs if self._cell.is_blocked(job))
+
     def _waiting_stages(self, now: float) -> list[Stage]:
         found = []
         for job in self._cell.job_by_id.values():
@@ -209,11 +167,12 @@
         return orders
 
     def _place_stage(self, stage: Stage, this_round: DecisionRound) -> list[Order]:
-        now = this_round.now
         if stage.advice.call_pending:
             return []
         if stage.plan:
-            return self._start_planned_gang(stage, now)
+            return self._start_planned_gang(stage, this_round)
+        if self._is_capped(stage, this_round):
+            return []
         if needs_advice(stage) and not stage.advice.asked_vms:
             return self._request_more_advice(stage, this_round)
         candidates = self._candidates(stage, this_round)
@@ -226,9 +185,17 @@
             return self._request_more_advice(stage, this_round)
         return orders
 
+    def _is_capped(self, stage: Stage, this_round: DecisionRound) -> bool:
+        """Returns whether the cap of its team keeps a step from starting now."""
+        if self._cell.team_ledger.may_start(stage):
+            return False
+        this_round.capped_stages.add(stage.key)
+        self.cap_waits.record(stage.job.team)
+        return True
+
     def _candidates(self, stage: Stage, this_round: DecisionRound) -> list[Worker]:
         urgent = is_urgent(stage)
-        no_trials = stage.is_failing and _service(stage) in this_round.sound_services
+        no_trials = stage.is_failing and service_of(stage) in this_round.sound_services
         found = [
             worker
             for worker in this_round.available_workers
@@ -248,6 +215,8 @@
         for index in stage.waiting_tasks():
             if need.cpu > this_round.available_cpu(stage):
                 break
+            if orders and self._is_capped(stage, this_round):
+                break
             worker = select_worker(stage, candidates, now)
             if worker is None:
                 break
@@ -291,6 +260,7 @@
         for worker in chosen:
             worker.reserve(stage.spec.need)
         stage.plan = [(index, w.entry.vm) for index, w in enumerate(chosen)]
+        self._cell.team_ledger.charge_plan(stage)
         return orders
 
     def _may_leave_rack(self, stage: Stage, this_round: DecisionRound) -> bool:
@@ -312,12 +282,18 @@
         total = sum(worker.entry.capacity.cpu for worker in workers)
         return stage.waited_s > RACK_WAIT_S and free >= total * IDLE_SHARE
 
-    def _start_planned_gang(self, stage: Stage, now: float) -> list[Order]:
+    def _start_planned_gang(
+        self, stage: Stage, this_round: DecisionRound
+    ) -> list[Order]:
         """Starts a gang on its planned workers if all still accept it.
 
-        Otherwise the plan is dropped and a later round places the gang again.
+        Otherwise the plan is dropped and a later round places the gang again. The cap
+        of its team may have been lowered since it was planned.
         """
+        now = this_round.now
         workers = self._cell.release_plan(stage)
+        if self._is_capped(stage, this_round):
+            return []
         can_start = all(
             w and self._cell.accepts_tasks(w, now) and fits(stage.spec.need, w.free)
             for w in workers
@@ -421,21 +397,10 @@
         return [AdviceOrder(stage.key, vms, expected_s)]
 
 
-def _nonurgent_cpu_by_service(workers: list[Worker]) -> dict[str, float]:
-    cores: dict[str, float] = {}
-    for worker in workers:
-        service, entry = worker.entry.service, worker.entry
-        usable = worker.free.cpu - entry.capacity.cpu * URGENT_RESERVE
-        cores[service] = cores.get(service, 0.0) + usable
-    return cores
-
-
-def _service(stage: Stage) -> str:
-    return stage.job.record.queue.service
-
-
-def _wait_cause(stage: Stage) -> WaitCause:
+def _wait_cause(stage: Stage, this_round: DecisionRound) -> WaitCause:
     """Returns what a step waits for that was not started in a round."""
+    if stage.key in this_round.capped_stages:
+        return WaitCause.CAP
     if stage.plan:
         return WaitCause.TICKETS
     if stage.advice.call_pending:
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -190,8 +190,10 @@
             RunPhase.RUNNING,
             now,
             stop_wanted=True,
+            team=self._cell.job_team(job_id_of_task(row.task)),
+            charge=need,
         )
-        worker.add_run(run)
+        self._cell.add_run(run)
         self._cell.record_event(
             events.UNNEEDED_RUN_STOPPED,
             task=row.task,
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -1,9 +1,9 @@
 """Runs of tasks on workers, as the owner knows them."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from arbutusladder.cell.states import RunPhase
-from arbutusladder.ids import JobId, VmId
+from arbutusladder.ids import JobId, TeamName, VmId
 from arbutusladder.messages import Resources
 
 RunKey = tuple[str, int]
@@ -41,6 +41,8 @@
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
         lasting: Whether it runs until its job is cancelled.
+        team: Team of its job; empty if it has none or is not known.
+        charge: Resources charged to the team until the run has ended.
     """
 
     task: str
@@ -66,6 +68,8 @@
     ordered_born: int = 0
     token_number: int = -1
     lasting: bool = False
+    team: TeamName = ""
+    charge: Resources = field(default_factory=Resources)
 
     @property
     def key(self) -> RunKey:
--- a/arbutusladder/cell/simulation.py
+++ b/arbutusladder/cell/simulation.py
@@ -20,6 +20,7 @@
     RunningTask,
     StartOrder,
     StopOrder,
+    TeamLimits,
     WorkerEntry,
     WorkerReport,
 )
@@ -138,6 +139,7 @@
         end_kind: Returns how a run of a task on a worker ends.
         is_permitted: Returns whether the advice service permits a step on a worker.
         callers: Number of concurrent calls to the advice service.
+        limits: Shares and caps of the teams; none by default.
     """
 
     def __init__(
@@ -147,9 +149,11 @@
         end_kind: EndKindFunction = lambda task, vm: EndKind.DONE,
         is_permitted: Callable[[str, VmId], bool] = lambda stage, vm: True,
         callers: int = 8,
+        limits: TeamLimits | None = None,
     ):
         self.now = 1000.0
         self.state = CellState(0.0, lambda task: None)
+        self.state.team_ledger.limits = limits or TeamLimits()
         self.placer = Placer(self.state)
         self.worker_by_vm = {e.vm: SimulatedWorker(e) for e in workers}
         self.state.update_registry({e.vm: e for e in workers}, self.now)
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -11,6 +11,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     FailedRun,
+    Resources,
     StageProgress,
     StepSpec,
 )
@@ -208,6 +209,16 @@
             lost_s += self.restart_wait_s
         return min(MAX_STALL_TIMEOUT_S, max(STALL_TIMEOUT_S, lost_s))
 
+    @property
+    def reserved_need(self) -> Resources:
+        """Resources of a task to reserve on its worker.
+
+        Tasks that fill idle cores reserve none of them.
+        """
+        if not self.spec.fills:
+            return self.spec.need
+        return Resources(0.0, self.spec.need.memory_mb, self.spec.need.accelerators)
+
     def task_name(self, index: int) -> str:
         """Returns the name of a task."""
         return f"{self.key}.{index}"
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -83,13 +83,15 @@
 
     ``CALLER`` is an idle entry VM for a call to the advice service, ``ADVICE`` the
     reply to such a call, ``TICKETS`` the renewal of tickets for the planned start of a
-    gang and ``ROOM`` free resources on workers that may run the step.
+    gang, ``ROOM`` free resources on workers that may run the step and ``CAP`` the end
+    of other work of its team, which is at its cap.
     """
 
     CALLER = "caller"
     ADVICE = "advice"
     TICKETS = "tickets"
     ROOM = "room"
+    CAP = "cap"
 
 
 class SubmissionOutcome(Enum):
--- /dev/null
+++ b/arbutusladder/cell/teamusage/ledger.py
@@ -0,0 +1,118 @@
+"""Resources charged to each team for what it may have running."""
+
+from collections.abc import Iterable
+
+from arbutusladder.cell.celljobs import Job
+from arbutusladder.cell.interfaces import TeamLimits
+from arbutusladder.cell.runs import Run
+from arbutusladder.cell.stages import Stage
+from arbutusladder.cell.teamusage.caps import smallest_start
+from arbutusladder.ids import TeamName
+from arbutusladder.messages import Resources
+from arbutusladder.resources import add, scale, subtract
+from arbutusladder.teamshares import TeamUsage, exceeds_limit
+
+
+class TeamLedger(TeamUsage):
+    """Charges by team for runs and planned gangs, compared with the caps.
+
+    A run is charged from its creation, before its order is sent, to its proven end.
+    While workers have not reported after a takeover, tasks that they may run are
+    charged as well.
+
+    Attributes:
+        limits: Shares and caps of the teams, which the owner refreshes each round.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.limits = TeamLimits()
+        self._inherited_by_team: dict[TeamName, Resources] = {}
+
+    @property
+    def has_teams(self) -> bool:
+        """Whether the configuration has teams."""
+        return bool(self.limits.terms_by_name)
+
+    def charge(self, run: Run) -> None:
+        """Charges a new run to its team."""
+        if run.team:
+            self.adjust(run.team, run.charge)
+
+    def release(self, run: Run) -> None:
+        """Releases the charge of a run that has ended."""
+        if run.team:
+            self.adjust(run.team, subtract(Resources(), run.charge))
+
+    def charge_plan(self, stage: Stage) -> None:
+        """Charges the planned starts of a gang."""
+        if stage.job.team:
+            self.adjust(stage.job.team, _plan_charge(stage))
+
+    def release_plan(self, stage: Stage) -> None:
+        """Releases the charge of planned starts."""
+        if stage.job.team:
+            self.adjust(stage.job.team, subtract(Resources(), _plan_charge(stage)))
+
+    def set_inherited(self, jobs: Iterable[Job]) -> None:
+        """Charges what jobs of a predecessor may run on workers without a report.
+
+        Args:
+            jobs: Jobs that such a worker may run. Their tasks with a known run are
+                charged by that run.
+        """
+        self._inherited_by_team = {}
+        for job in jobs:
+            if job.team:
+                charged = self._inherited_by_team.get(job.team, Resources())
+                self._inherited_by_team[job.team] = add(charged, _waiting_need(job))
+
+    def charged(self, team: TeamName) -> Resources:
+        """Returns all that a team may have running, with its planned gangs."""
+        used = self.used(team)
+        inherited = self._inherited_by_team.get(team)
+        return add(used, inherited) if inherited else used
+
+    def may_start(self, stage: Stage) -> bool:
+        """Returns whether the cap allows a task of a step, or its whole gang, to start.
+
+        A team that is not configured, such as a removed one, has no cap.
+        """
+        team = stage.job.team
+        terms = self.limits.terms_by_name.get(team)
+        if terms is None:
+            return True
+        need = smallest_start(stage.spec)
+        return not exceeds_limit(self.charged(team), need, terms.cap)
+
+
+def recount(
+    runs: Iterable[Run], planned: Iterable[Stage] = ()
+) -> dict[TeamName, Resources]:
+    """Returns the charges by team from the runs, against which tests check the ledger.
+
+    Args:
+        runs: All runs that have not ended.
+        planned: Gangs with planned starts.
+    """
+    usage = TeamUsage()
+    for run in runs:
+        if run.team:
+            usage.adjust(run.team, run.charge)
+    for stage in planned:
+        if stage.job.team:
+            usage.adjust(stage.job.team, _plan_charge(stage))
+    return usage.used_by_team
+
+
+def _plan_charge(stage: Stage) -> Resources:
+    return scale(stage.spec.need, len(stage.plan))
+
+
+def _waiting_need(job: Job) -> Resources:
+    """Returns the need of the unfinished tasks of a job without a known run."""
+    need = Resources()
+    for stage in job.stage_by_key.values():
+        tasks = sum(task.is_waiting for task in stage.tasks)
+        need = add(need, scale(stage.spec.need, tasks))
+    return need
--- a/arbutusladder/errors.py
+++ b/arbutusladder/errors.py
@@ -49,6 +49,16 @@
         )
 
 
+class JobExceedsCap(ArbutusladderError):
+    """A step of a submitted job can never run below the cap of its team."""
+
+    def __init__(self, problem: str):
+        super().__init__(
+            f"the job exceeds the team's cap: {problem}; "
+            "submit smaller tasks or gangs, or have the cap raised"
+        )
+
+
 class HttpError(ArbutusladderError):
     """An HTTP exchange failed.
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -239,6 +239,17 @@
     "it knows the records before {position}, as of {seconds:.3f} s before",
 )
 
+TEAM_AT_CAP = Event(
+    475,
+    Level.INFO,
+    "{steps} steps of team {team} wait for its cap: it may have running {cpu:.1f} of "
+    "{cap_cpu:.1f} cores, {memory:.0f} of {cap_memory:.0f} MB and {accelerators} of "
+    "{cap_accelerators} accelerators, where a cap of 0 is no limit",
+)
+TEAM_BELOW_CAP = Event(
+    476, Level.INFO, "team {team} no longer waits for its cap, after {seconds:.1f} s"
+)
+
 # 500 to 599: configuration
 CONFIG_APPLIED = Event(500, Level.INFO, "revision {revision} by {author} is in force")
 CONFIG_REFUSED = Event(
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -15,7 +15,7 @@
 from arbutusladder.cell.member import Member
 from arbutusladder.cell.states import SubmissionOutcome
 from arbutusladder.clock import Clock
-from arbutusladder.errors import JobTooLarge, LogUnavailable
+from arbutusladder.errors import JobExceedsCap, JobTooLarge, LogUnavailable
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.ids import JobId
@@ -115,6 +115,9 @@
             return _json_answer(
                 HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)}
             )
+        except JobExceedsCap as error:
+            self._metrics.count("refused.job_exceeds_cap")
+            return _json_answer(HTTPStatus.UNPROCESSABLE_ENTITY, {"error": str(error)})
         self._metrics.timing("submission", self._clock.now() - received_at)
         self._journal.write(
             events.JOB_SUBMITTED,
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -6,9 +6,10 @@
 import curio
 import pytest
 
+from arbutusladder.cell.interfaces import TeamLimits
 from arbutusladder.httpclient import request
 from arbutusladder.httpserver import HttpRequest
-from arbutusladder.messages import Header
+from arbutusladder.messages import Header, Resources, TeamTerms
 from arbutusladder.metricspage import MetricsPage
 from arbutusladder.platform.__main__ import EXIT_CODE_TASK_FAILED, EntryDaemon
 from arbutusladder.platform.routes import RoutingTable
@@ -421,3 +422,29 @@
         assert 'arbutusladder_submissions_total{reason="accepted"} 1.0' in text
         assert "arbutusladder_submission_seconds_bucket" in text
         assert missing == 404
+
+
+class TestTeamCap:
+    """Pattern: a caller submits a job that can never run below its team's cap."""
+
+    def test_job_is_refused_unless_it_may_be_stored(self, tmp_path):
+        """Guards against a job that waits for ever, and a refusal of one that runs."""
+        limits = TeamLimits({"": TeamTerms("", cap=Resources(2.0))})
+
+        async def scenario(cell):
+            member = cell.entries[0]._member
+            gang = job_body(3, gang=True)
+            known, in_doubt, new = (QUEUE_PREFIX + digit * 16 for digit in "abc")
+            first = await cell.client_request(0, "POST", known, gang)
+            member._dependencies.teams = lambda: limits
+            member._in_doubt.add(["b" * 16], member._clock.now())
+            answers = [
+                await cell.client_request(0, "POST", path, gang)
+                for path in (known, in_doubt, new)
+            ]
+            return [first.status, *(answer.status for answer in answers)], answers[-1]
+
+        statuses, refusal = run_scenario(tmp_path, scenario, entry_count=1)
+        assert (statuses[0], statuses[1], statuses[3]) == (200, 200, 422)
+        assert statuses[2] != 422
+        assert b"a gang takes 3 cores, 300 MB" in refusal.body
