--- /dev/null
+++ b/arbutusladder/access/__init__.py
@@ -0,0 +1,1 @@
+"""Access of callers: their teams, and the configuration that is in force."""
--- a/arbutusladder/platform/routes.py
+++ b/arbutusladder/platform/routes.py
@@ -1,10 +1,17 @@
-"""Routing table of the operator's configuration: maps host and path to a queue."""
+"""The operator's configuration: routes to queues, and teams with their keys.
+
+The platform calls a team a tenant.
+"""
 
 from dataclasses import dataclass, field
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
-from arbutusladder.messages import QueueTerms
+from arbutusladder.access.callers import KeyTable
+from arbutusladder.ids import TeamName
+from arbutusladder.messages import QueueTerms, Resources, TeamTerms
 from arbutusladder.platform.bounds import (
     Amount,
     Duration,
@@ -17,6 +24,10 @@
 # Topic and key of the configuration in the platform's log.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+# Smallest weight of a team, since shares are divided by weights.
+MIN_WEIGHT = 1e-3
+# Longest name of a team in characters; records of the log reserve 1 KB for names.
+MAX_TEAM_NAME_LENGTH = 200
 
 
 class _Advice(msgspec.Struct, rename="kebab"):
@@ -35,7 +46,8 @@
     """A queue.
 
     ``service`` runs its tasks, ``slo-ms`` is added to the time objective of its jobs
-    and ``timeout-ms`` limits the wait for a response.
+    and ``timeout-ms`` limits the wait for a response. Calls of a ``public`` one need no
+    key.
     """
 
     name: str
@@ -48,13 +60,32 @@
     slo_ms: Duration = 0.0
     timeout_ms: Duration = 3000.0
     advice: _Advice | None = None
+    public: bool = False
+
+
+class _Cap(msgspec.Struct, rename="kebab"):
+    """What a team may have running; ``cpu`` is in thousandths of a core."""
+
+    cpu: Amount = 0
+    mem_mb: Amount = 0
+    gpu: Amount = 0
+
+
+class _Tenant(msgspec.Struct, rename="kebab"):
+    """A team; ``weight`` is its share when the cell is full."""
+
+    name: Annotated[str, Meta(min_length=1, max_length=MAX_TEAM_NAME_LENGTH)]
+    api_keys: list[str] = []
+    weight: Factor = 1.0
+    cap: _Cap = msgspec.field(default_factory=_Cap)
 
 
 class _Config(msgspec.Struct, rename="kebab"):
-    """The operator's configuration."""
+    """The operator's configuration; it has no teams without ``tenants``."""
 
     version: Position
     routes: list[_Route]
+    tenants: list[_Tenant] | None = None
 
 
 @dataclass(frozen=True)
@@ -66,25 +97,31 @@
         host: Host name under which clients reach it.
         path_prefix: Prefix of the paths of its jobs.
         timeout_s: Longest wait of a client for a response, in seconds.
+        public: Whether its callers need no key.
     """
 
     terms: QueueTerms
     host: str
     path_prefix: str
     timeout_s: float
+    public: bool = False
 
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """All queues of one version of the configuration.
+    """All queues and teams of one version of the configuration.
 
     Attributes:
         version: Version of the configuration; increases with each change.
         queues_by_host: Queues of each host, longest prefix first.
+        keys: Keys of the teams; None for a configuration without teams.
+        terms_by_team: Terms of each team.
     """
 
     version: int
     queues_by_host: dict[str, list[Queue]] = field(default_factory=dict)
+    keys: KeyTable | None = None
+    terms_by_team: dict[TeamName, TeamTerms] = field(default_factory=dict)
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching path prefix.
@@ -117,7 +154,19 @@
         queues_by_host.setdefault(route.host, []).append(_queue_from_route(route))
     for queues in queues_by_host.values():
         queues.sort(key=lambda queue: -len(queue.path_prefix))
-    return RoutingTable(config.version, queues_by_host)
+    if config.tenants is None:
+        return RoutingTable(config.version, queues_by_host)
+    keys = KeyTable.from_teams(
+        (TeamName(row.name), [key.encode() for key in row.api_keys])
+        for row in config.tenants
+    )
+    terms_by_team = {TeamName(row.name): _team_terms(row) for row in config.tenants}
+    return RoutingTable(config.version, queues_by_host, keys, terms_by_team)
+
+
+def _team_terms(row: _Tenant) -> TeamTerms:
+    cap = Resources(row.cap.cpu / 1000, row.cap.mem_mb, row.cap.gpu)
+    return TeamTerms(TeamName(row.name), max(MIN_WEIGHT, row.weight), cap)
 
 
 def _queue_from_route(route: _Route) -> Queue:
@@ -133,4 +182,10 @@
         advice_each_s=advice.each_ms / 1000,
         advice_validity_s=advice.validity_ms / 1000,
     )
-    return Queue(terms, route.host, route.path_prefix, route.timeout_ms / 1000)
+    return Queue(
+        terms,
+        route.host,
+        route.path_prefix,
+        route.timeout_ms / 1000,
+        route.public,
+    )
--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -44,6 +44,8 @@
     between SIGTERM and SIGKILL, ``status_s`` the required retention of job states and
     ``cancel_ms`` the time after an acknowledged cancellation from which no task of the
     job may start, ``drain-ms`` the same for a worker whose entry says that it drains.
+    ``config-apply-ms`` is the time after an acknowledged change of the configuration
+    within which it has to be in force.
     """
 
     max_hold_ms: Duration = 6000.0
@@ -51,6 +53,7 @@
     drain_ms: Duration = 2000.0
     status_s: Duration = msgspec.field(default=120.0, name="status_s")
     cancel_ms: Duration = msgspec.field(default=3000.0, name="cancel_ms")
+    config_apply_ms: Duration = 2000.0
 
 
 class _Store(_Wire):
@@ -99,6 +102,8 @@
             task of its job may start.
         drain_limit_s: Seconds after a worker's entry says that it drains from which no
             task may start on it.
+        config_apply_s: Seconds after an acknowledged change of the configuration
+            within which it has to be in force.
         record_bytes: Largest record in bytes that the log accepts.
         undersized: Whether this entry VM has too little CPU or bandwidth to own a
             large cell.
@@ -115,6 +120,7 @@
     finished_retention_s: float
     cancellation_limit_s: float
     drain_limit_s: float
+    config_apply_s: float
     record_bytes: int
     undersized: bool
 
@@ -150,6 +156,7 @@
         finished_retention_s=raw.bounds.status_s * STATUS_RETENTION_FACTOR,
         cancellation_limit_s=raw.bounds.cancel_ms / 1000,
         drain_limit_s=raw.bounds.drain_ms / 1000,
+        config_apply_s=raw.bounds.config_apply_ms / 1000,
         record_bytes=raw.platform.record_bytes,
         undersized=_is_undersized(raw.limits),
     )
