Store the team of a job with its submission and its progress

The submission of a finished job is deleted, so its progress names the team as well. The table keeps it when the owner relays a state, which carries no team.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -159,7 +159,7 @@
     def progress(self) -> JobProgress:
         """Returns the progress to store, without the steps of a finished job."""
         if self.phase.is_final:
-            return JobProgress(self.phase)
+            return JobProgress(self.phase, team=self.record.team)
         rows = [
             stage_progress(stage)
             for stage in self.stage_by_key.values()
@@ -167,7 +167,8 @@
         ]
         stages = [row for row in rows if row]
         self.limits.drop_excess_checkpoints(stages)
-        return JobProgress(self.phase, stages, self.finished.ranges())
+        finished = self.finished.ranges()
+        return JobProgress(self.phase, stages, finished, self.record.team)
 
 
 def critical_path_s(record: SubmittedJob) -> float:
--- a/arbutusladder/cell/jobtable.py
+++ b/arbutusladder/cell/jobtable.py
@@ -11,7 +11,7 @@
 from arbutusladder.cell.interfaces import KeyedRecord, LogBatch
 from arbutusladder.cell.states import JobPhase
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
-from arbutusladder.ids import JobId
+from arbutusladder.ids import JobId, TeamName
 from arbutusladder.messages import (
     JobProgress,
     RelayedState,
@@ -45,6 +45,9 @@
         cancelled: Whether a cancellation is stored.
         cancel_offset: Offset of its first known record; -1 before it.
         reported_end: Final state that an owner reported and that is not stored yet.
+        team: Team of the job, also once its submission is deleted; empty for a job
+            without one, None while only its state is known.
+        queue: Name of its queue, once its submission was read here.
     """
 
     record: SubmittedJob | None = None
@@ -54,6 +57,8 @@
     cancelled: bool = False
     cancel_offset: int = -1
     reported_end: JobPhase | None = None
+    team: TeamName | None = None
+    queue: str = ""
 
     @property
     def phase(self) -> JobPhase:
@@ -190,6 +195,8 @@
                 self.malformed += 1
                 continue
             job.progress_offset = record.offset
+            if job.team is None:
+                job.team = job.progress.team
             self._update_indexes(job_id, job)
 
     def apply_relayed_states(self, offset: int, states: list[RelayedState]) -> None:
@@ -205,7 +212,7 @@
         for state in states:
             job = self.job_by_id.setdefault(state.job_id, JobEntry())
             if offset > job.progress_offset:
-                job.progress = JobProgress(state.state)
+                job.progress = JobProgress(state.state, team=job.progress.team)
                 job.progress_offset = offset
                 self._update_indexes(state.job_id, job)
 
@@ -236,6 +243,16 @@
             return None
         return job.phase
 
+    def team(self, job_id: JobId) -> TeamName | None:
+        """Returns the team of a job; None for an unknown job or team."""
+        job = self.job_by_id.get(job_id)
+        return job.team if job else None
+
+    def is_in_queue(self, job_id: JobId, queue: str) -> bool:
+        """Returns whether a job is known to be one of a queue."""
+        job = self.job_by_id.get(job_id)
+        return job is not None and job.queue == queue
+
     def cancel_offset(self, job_id: JobId) -> int:
         """Returns the offset of a job's cancellation; -1 if none is known here."""
         job = self.job_by_id.get(job_id)
@@ -273,6 +290,7 @@
             self.malformed += 1
             return False
         job.record_offset = record.offset
+        job.team, job.queue = job.record.team, job.record.queue.name
         return True
 
     def _discard_submission(self, job_id: JobId) -> None:
--- a/arbutusladder/platform/jobbody.py
+++ b/arbutusladder/platform/jobbody.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from arbutusladder.ids import JobId
+from arbutusladder.ids import JobId, TeamName
 from arbutusladder.messages import QueueTerms, Resources, StepSpec, SubmittedJob
 from arbutusladder.platform.bounds import Amount, Duration
 from arbutusladder.platform.jsonbody import decode_json
@@ -59,7 +59,11 @@
 
 
 def decode_job(
-    job_id: JobId, body: bytes, terms: QueueTerms, wall_time: float
+    job_id: JobId,
+    body: bytes,
+    terms: QueueTerms,
+    wall_time: float,
+    team: TeamName = "",
 ) -> SubmittedJob:
     """Decodes and validates a submitted job.
 
@@ -68,6 +72,7 @@
         body: JSON body of the request.
         terms: Terms of the queue that takes the job.
         wall_time: Wall clock time of the submission in seconds.
+        team: Team of the caller; empty for none.
 
     Raises:
         msgspec.ValidationError: The body is not a valid job.
@@ -83,6 +88,7 @@
         payload=job.spec,
         steps=[_step_spec(step) for step in job.steps],
         accepted_at=wall_time,
+        team=team,
         times=job.times,
         first_at=job.first_ms / 1000,
         interval_s=job.interval_ms / 1000,
