Authenticate clients and read the configuration through other entry VMs

The following of the configuration moves out of the daemon into ConfigFollower. It reads through the forwarding log client, asks other entry VMs when the store is silent for this one before the proof gets too old, and when the owner announces a newer version. With teams, calls with an unknown key get 401, jobs of other teams 409 or 410, and all calls 503 while the version in force is not known.

select_forwarders moves to memberregistry and the sequence of the claim to ClaimManager, so that member.py and owner.py do not grow.

--- a/arbutusladder/cell/forwardinglog.py
+++ b/arbutusladder/cell/forwardinglog.py
@@ -152,6 +152,42 @@
         self._end_by_topic[topic] = batch.end
         return batch
 
+    async def read_through_others(
+        self, topic: str, offset: int, next_delay_s: float
+    ) -> LogBatch:
+        """Reads through other entry VMs, without a call of the log from this one.
+
+        Args:
+            topic: The topic.
+            offset: Offset of the first record to read.
+            next_delay_s: Seconds without an answer after which the next one is asked
+                as well; the first answer counts.
+
+        Raises:
+            LogUnavailable: None of them has read the topic.
+            OffsetDeleted: The records at the offset are deleted.
+        """
+        async with curio.TaskGroup(wait=object) as group:
+            for number, forwarder in enumerate(self._ranked_forwarders()):
+                call = self._new_call(LogMethod.READ, topic, None)
+                call.offset = offset
+                delay_s = number * next_delay_s
+                await group.spawn(self._read_through, forwarder, call, delay_s)
+        reply = group.result if group.completed else None
+        if reply is None:
+            raise LogUnavailable("no other entry VM has read it", maybe_applied=False)
+        if reply.result is LogResult.POSITION_LOST:
+            raise OffsetDeleted(f"{topic}: offset {offset} is deleted")
+        return _batch(reply)
+
+    async def _read_through(
+        self, forwarder: SeatId, call: LogCall, delay_s: float
+    ) -> LogReply | None:
+        await curio.sleep(delay_s)
+        reply = await self._call_forwarder(forwarder, call)
+        is_read = reply and reply.result in {LogResult.DONE, LogResult.POSITION_LOST}
+        return reply if is_read else None
+
     async def serve_forwarded(self, call: LogCall) -> LogReply:
         """Makes a call for another entry VM; does not forward it again."""
         request_id = call.request_id
@@ -237,11 +273,7 @@
 
     async def _forward(self, call: LogCall, maybe_applied: bool) -> LogReply:
         for forwarder in self._ranked_forwarders():
-            call.request_id = RequestId(
-                f"{self._listen}/log/{next(self._call_numbers)}"
-            )
-            reply = await self._peers.call(forwarder, call, FORWARDING_TIMEOUT_S)
-            self._record_reply(forwarder, reply)
+            reply = await self._call_forwarder(forwarder, call)
             match reply.result if reply else LogResult.UNKNOWN:
                 case LogResult.DONE:
                     return reply
@@ -263,6 +295,14 @@
             "neither reachable directly nor through other entry VMs", maybe_applied
         )
 
+    async def _call_forwarder(
+        self, forwarder: SeatId, call: LogCall
+    ) -> LogReply | None:
+        call.request_id = RequestId(f"{self._listen}/log/{next(self._call_numbers)}")
+        reply = await self._peers.call(forwarder, call, FORWARDING_TIMEOUT_S)
+        self._record_reply(forwarder, reply)
+        return reply
+
     def _ranked_forwarders(self) -> list[SeatId]:
         """Returns the entry VMs to try; the most recently failed come last."""
         ranked = sorted(
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -6,7 +6,7 @@
 """
 
 import itertools
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 import curio
@@ -40,6 +40,7 @@
     submission_item,
 )
 from arbutusladder.cell.logretry import retry_until_answered
+from arbutusladder.cell.memberregistry import select_forwarders
 from arbutusladder.cell.owner import Owner
 from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.sharedread import SharedRead
@@ -86,8 +87,6 @@
 # Seconds for which an append without an answer may still take effect; the faults that
 # the bench injects delay one by up to 12 s.
 IN_DOUBT_PERIOD_S = 15.0
-# Entry VMs to which connections are kept for forwarding calls of the log.
-MAX_FORWARDING_MEMBERS = 3
 # Seconds before a read of the log is repeated after a failure.
 RETRY_DELAY_S = 0.2
 # Seconds between checks, while waiting for the next read, whether it is due at once.
@@ -119,6 +118,10 @@
     job_limits: JobLimits = JobLimits()
 
 
+async def ignore_config_version(version: int) -> None:
+    """Ignores an announced version, where no configuration has versions."""
+
+
 @dataclass
 class CellDependencies:
     """External services and settings of an entry VM.
@@ -133,6 +136,8 @@
         metrics: Counters and timings.
         settings: Settings of the cell.
         teams: Returns the shares and limits of the teams now.
+        config_version: Returns the newest version of the configuration known here.
+        on_config_version: Called with the version that the owner announces.
     """
 
     log: KeyedLog
@@ -144,6 +149,8 @@
     metrics: Metrics
     settings: CellSettings
     teams: Callable[[], TeamLimits] = TeamLimits
+    config_version: Callable[[], int] = int
+    on_config_version: Callable[[int], Awaitable[None]] = ignore_config_version
 
 
 class Member:
@@ -272,10 +279,13 @@
     async def _store(
         self, item: tuple[str, bytes], deadline: float
     ) -> SubmissionOutcome:
-        in_doubt_until = self._in_doubt_until_by_key.get(item[0], 0.0)
-        in_doubt = self._clock.now() < in_doubt_until
+        in_doubt = self.is_in_doubt(item[0])
         return await self.appender.store(item, deadline, in_doubt)
 
+    def is_in_doubt(self, key: str) -> bool:
+        """Returns whether an append of a key may still take effect."""
+        return self._clock.now() < self._in_doubt_until_by_key.get(key, 0.0)
+
     async def on_in_doubt(self, keys: list[str]) -> None:
         """Announces appends that may still take effect to all entry VMs.
 
@@ -606,6 +616,7 @@
             case OwnerBeat() as beat:
                 self.appender.owner_append_s = beat.append_s
                 self._owner_reaches_log = beat.reaches_log
+                await self._dependencies.on_config_version(beat.config_version)
                 await self.claims.handle_heartbeat(beat)
 
     async def _serve_advice_call(self, sender: SeatId, call: AdviceCall) -> None:
@@ -613,16 +624,3 @@
             call.request_id, call.stage, call.workers, call.timeout_s
         )
         await self.peers.send(sender, reply)
-
-
-def select_forwarders(vm: VmId, members: list[EntryVm]) -> list[EntryVm]:
-    """Returns the entry VMs that should forward log calls of one of them.
-
-    Undersized ones come last: a forwarded read takes the bandwidth of both links. Among
-    the others, those that follow in the order of names come first, so that the calls
-    spread over them.
-    """
-    ranked = sorted(
-        members, key=lambda member: (member.undersized, member.vm < vm, member.vm)
-    )
-    return ranked[:MAX_FORWARDING_MEMBERS]
--- a/arbutusladder/cell/memberregistry.py
+++ b/arbutusladder/cell/memberregistry.py
@@ -17,6 +17,8 @@
 # owner that lost sight of most others must not take the rest for the whole cell; log
 # outages, during which that matters, are shorter.
 MEMBERSHIP_TIMEOUT_S = 30.0
+# Entry VMs to which connections are kept for forwarding calls of the log.
+MAX_FORWARDING_MEMBERS = 3
 
 
 @dataclass(frozen=True)
@@ -103,3 +105,16 @@
         if hello.list_version == version:
             return None
         return MemberList([self._own_entry, *self.listed], version)
+
+
+def select_forwarders(vm: VmId, members: list[EntryVm]) -> list[EntryVm]:
+    """Returns the entry VMs that should forward log calls of one of them.
+
+    Undersized ones come last: a forwarded read takes the bandwidth of both links. Among
+    the others, those that follow in the order of names come first, so that the calls
+    spread over them.
+    """
+    ranked = sorted(
+        members, key=lambda member: (member.undersized, member.vm < vm, member.vm)
+    )
+    return ranked[:MAX_FORWARDING_MEMBERS]
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -350,17 +350,16 @@
             now = self._clock.now()
             await self._refresh_members(now)
             append_s = self._newest_append_s(now)
-            claim = self._member.claims.current
-            sequence = claim.sequence if claim and claim.epoch == self.epoch else -1
             reaches_log = not self._member.log.forwarding
             await self._broadcast(
                 OwnerBeat(
                     self.epoch,
                     append_s=append_s if reaches_log else 0.0,
                     reaches_log=reaches_log,
-                    claim_sequence=sequence,
+                    claim_sequence=self._member.claims.sequence_of(self.epoch),
                     number=self.evidence.next_heartbeat(),
                     jobs_position=self._member.jobs_view.offset,
+                    config_version=self._dependencies.config_version(),
                 )
             )
             await self._wait_for_next_heartbeat(now + HEARTBEAT_INTERVAL_S, append_s)
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -254,6 +254,18 @@
     "configuration cannot be read: {problem}",
     "publish a configuration in the format that the platform documents",
 )
+CONFIG_VIEW_OUTDATED = Event(
+    504,
+    Level.WARNING,
+    "configuration version {version} may not be the newest ({state}), last proven "
+    "{seconds:.1f} s ago; refusing the calls of clients",
+    "check the log service and the connections to the other entry VMs",
+)
+CONFIG_VIEW_CURRENT = Event(
+    505,
+    Level.INFO,
+    "configuration version {version} is the newest again, proven {seconds:.1f} s ago",
+)
 
 
 def all_events() -> list[Event]:
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -15,16 +15,14 @@
 import sys
 
 import curio
-import msgspec
 from docopt import docopt
 
 from arbutusladder import events
+from arbutusladder.access.configview import ConfigView
 from arbutusladder.backgroundtasks import spawn_logged
-from arbutusladder.cell.interfaces import KeyedRecord, OffsetDeleted
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.cell.member import CellDependencies, CellSettings, Member
 from arbutusladder.clock import Clock
-from arbutusladder.errors import LogUnavailable
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.httpserver import HttpRequest, HttpServer
@@ -35,12 +33,8 @@
 from arbutusladder.metricspage import MetricsPage
 from arbutusladder.platform.advice import PlatformAdvisor
 from arbutusladder.platform.clientapi import ClientApi
-from arbutusladder.platform.routes import (
-    CONFIG_KEY,
-    CONFIG_TOPIC,
-    RoutingTable,
-    decode_config,
-)
+from arbutusladder.platform.configfollower import ConfigFollower
+from arbutusladder.platform.routes import RoutingTable
 from arbutusladder.platform.settings import EntrySettings, load_settings
 from arbutusladder.platform.store import PlatformLog
 from arbutusladder.platform.workers import (
@@ -49,11 +43,6 @@
     decode_registry_entry,
 )
 
-# Seconds that a long-polling read of the configuration waits for a change. A change
-# must be in force within 2 s even if the connection of one read stops responding.
-CONFIG_READ_WAIT_S = 0.9
-# Seconds between attempts to read the configuration while it is unavailable.
-RETRY_DELAY_S = 0.2
 # Seconds after SIGTERM during which new connections are still answered: the load
 # balancer checks readiness once a second and removes a VM after two failed checks.
 BALANCER_NOTICE_S = 3.0
@@ -85,6 +74,7 @@
         self._clock = Clock()
         self._journal = Journal(settings.vm)
         self._metrics = Metrics()
+        self._view: ConfigView[RoutingTable] = ConfigView(settings.config_apply_s)
         pool = HttpConnectionPool(self._clock)
         self._log = PlatformLog(settings.store, pool, self._metrics)
         dependencies = CellDependencies(
@@ -104,15 +94,19 @@
                 settings.undersized,
                 JobLimits(settings.record_bytes),
             ),
+            teams=lambda: self._view.team_limits(self._clock.now_with_suspensions()),
+            config_version=lambda: self._view.version,
+            on_config_version=lambda version: self._follower.announce(version),
         )
         self._member = Member(VmId(settings.vm), settings.peer, dependencies)
-        self._routes: RoutingTable | None = None
+        self._follower = ConfigFollower(
+            self._member.log, self._view, self._clock, self._journal, self._metrics
+        )
         self._stop_requested = False
         self._reload_requested = False
-        self._config_offset = 0
         client_api = ClientApi(
             self._member,
-            lambda: self._routes,
+            self._view,
             self._clock,
             self._journal,
             self._metrics,
@@ -162,7 +156,8 @@
             ("member", self._member.run),
             ("front", self._client_server.run),
             ("ready", self._readiness_server.run),
-            ("configuration", self._follow_config),
+            ("configuration", self._follower.run),
+            ("configuration proof", self._follower.keep_proof),
         ):
             self._tasks.append(await spawn_logged(self._journal, name, task_function))
         for server in self._metrics_servers:
@@ -206,42 +201,10 @@
 
     async def _answer_readiness_check(self, request: HttpRequest) -> HttpResponse:
         healthy = self._member.healthy(self._clock.now())
-        ready = self._routes is not None and healthy and not self._stop_requested
+        serving = self._view.may_serve(self._clock.now_with_suspensions())
+        ready = serving and healthy and not self._stop_requested
         return HttpResponse(200 if ready else 503)
 
-    async def _follow_config(self) -> None:
-        while True:
-            try:
-                await self._read_config()
-            except LogUnavailable:
-                await curio.sleep(RETRY_DELAY_S)
-
-    async def _read_config(self) -> None:
-        try:
-            if self._routes is None:
-                raise OffsetDeleted
-            batch = await self._log.read(
-                CONFIG_TOPIC, self._config_offset, CONFIG_READ_WAIT_S
-            )
-        except OffsetDeleted:
-            batch = await self._log.newest(CONFIG_TOPIC)
-        for record in batch.records:
-            if record.key == CONFIG_KEY and record.value:
-                self._apply_config(record)
-        self._config_offset = batch.next_offset
-        if self._routes is None:
-            await curio.sleep(RETRY_DELAY_S)
-
-    def _apply_config(self, record: KeyedRecord) -> None:
-        try:
-            routes = decode_config(record.value)
-        except msgspec.MsgspecError as error:
-            self._journal.write(events.CONFIG_UNREADABLE, problem=str(error))
-            return
-        if self._routes is None or routes.version > self._routes.version:
-            self._routes = routes
-            self._journal.write(events.CONFIG_IN_FORCE, version=routes.version)
-
     def _log_request_failure(self, error: Exception) -> None:
         self._journal.write(
             events.BACKGROUND_TASK_FAILED, task="request", error=repr(error)
--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -5,10 +5,12 @@
 import curio
 import pytest
 
+from arbutusladder.access.configview import ConfigView
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.clock import ManualClock
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.clientapi import RESPONSE_MARGIN_S, ClientApi
+from arbutusladder.platform.routes import RoutingTable
 from tests.cell import workloads
 
 QUEUE_TIMEOUT_S = 3.0
@@ -31,7 +33,7 @@
     def test_malformed_deadline_is_ignored(self, value, wait_s):
         """Guards against closing the connection because of a header."""
         clock = ManualClock()
-        api = ClientApi(None, lambda: None, clock, None, None)
+        api = ClientApi(None, ConfigView(2.0), clock, None, None)
         request = SimpleNamespace(header=lambda name: value)
         queue = SimpleNamespace(timeout_s=QUEUE_TIMEOUT_S)
         deadline = api._response_deadline(request, queue)
@@ -45,11 +47,15 @@
         """Guards against accepting it, and against an answer that invites a retry."""
         clock, metrics = ManualClock(), Metrics()
         queue = SimpleNamespace(
-            path_prefix="/q/", timeout_s=QUEUE_TIMEOUT_S, terms=workloads.AUDITS
+            path_prefix="/q/",
+            timeout_s=QUEUE_TIMEOUT_S,
+            terms=workloads.AUDITS,
+            public=False,
         )
-        table = SimpleNamespace(find_queue=lambda host, path: queue)
+        view = ConfigView(2.0)
+        view.apply(RoutingTable(1, {"q.example": [queue]}), now=0.0)
         member = SimpleNamespace(submit=self._submit)
-        api = ClientApi(member, lambda: table, clock, None, metrics)
+        api = ClientApi(member, view, clock, None, metrics)
         body = b'{"spec":"s","steps":[{"count":1000000000,"cpu":100}]}'
         request = SimpleNamespace(
             method="POST",
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -308,7 +308,7 @@
             ):
                 cell.store.put_record("keyed.op", "config", config)
                 await curio.sleep(0.2)
-                versions.append(cell.entries[0]._routes.version)
+                versions.append(cell.entries[0]._view.version)
             path = QUEUE_PREFIX + "9" * 16
             answer = await cell.client_request(0, "POST", path, job_body(count=1))
             return versions, answer.status
--- a/tests/platform/test_jobbody.py
+++ b/tests/platform/test_jobbody.py
@@ -8,6 +8,7 @@
 import pytest
 from hypothesis import given, strategies
 
+from arbutusladder.access.configview import ConfigView
 from arbutusladder.cell import jobtable
 from arbutusladder.cell.advicecalls import AdviceCapacity
 from arbutusladder.cell.cellstate import CellState
@@ -80,10 +81,11 @@
         return SubmissionOutcome.ACCEPTED
 
     queue = Queue(TERMS, "q.example", "/jobs/", 3.0)
-    table = RoutingTable(1, {"q.example": [queue]})
+    view = ConfigView(2.0)
+    view.apply(RoutingTable(1, {"q.example": [queue]}), now=0.0)
     api = ClientApi(
         SimpleNamespace(submit=store, loaded=True),
-        lambda: table,
+        view,
         ManualClock(),
         SimpleNamespace(write=lambda event, **fields: None),
         Metrics(),
