--- a/arbutusladder/httpserver.py
+++ b/arbutusladder/httpserver.py
@@ -52,7 +52,7 @@
     path: str
     target: str
     query: dict[str, str] = field(default_factory=dict)
-    headers: list[Header] = field(default_factory=list)
+    headers: list[Header] = field(default_factory=list, repr=False)
     body: bytes = b""
     peer: str = ""
     host: str = ""
@@ -142,7 +142,8 @@
             request = await connection.read_request()
         except h11.RemoteProtocolError as error:
             status = getattr(error, "error_status_hint", 400)
-            await connection.send_error(status, str(error))
+            # What follows a colon quotes the request, which may contain a key.
+            await connection.send_error(status, str(error).partition(": ")[0])
             await connection.discard()
             return False
         if request is None:
--- a/arbutusladder/platform/configfollower.py
+++ b/arbutusladder/platform/configfollower.py
@@ -36,6 +36,9 @@
 # Shortest time in seconds between two reads without records; forwarded ones do not wait
 # for a change.
 MIN_READ_INTERVAL_S = 0.25
+# Seconds after a proof has become old enough at which it is checked; a timer may fire a
+# moment early.
+TIMER_MARGIN_S = 0.01
 # Seconds between attempts to read the configuration while it is unavailable.
 RETRY_DELAY_S = 0.2
 
@@ -179,7 +182,7 @@
     def _seconds_until_check(self) -> float:
         now = self._clock.now_with_suspensions()
         due_s = self._max_proof_age_s() - self._view.proof_age_s(now)
-        return max(MIN_READ_INTERVAL_S, due_s)
+        return due_s + TIMER_MARGIN_S if due_s > 0 else MIN_READ_INTERVAL_S
 
     def _is_read_due(self) -> bool:
         if not self._is_positioned:
--- /dev/null
+++ b/tests/access/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the access of callers."""
