Document keys and teams, and bound the reads for jobs whose team is unknown

A job whose submission was deleted while this entry VM could not read the log has an unknown team until all progress is read; that read is made at most every 2 s.

--- a/arbutusladder/platform/jobaccess.py
+++ b/arbutusladder/platform/jobaccess.py
@@ -1,5 +1,7 @@
 """Checks whether a caller may use a job, whose team the cell's records name."""
 
+import math
+
 import curio
 
 from arbutusladder.access.callers import Caller, Unrestricted, may_use_job
@@ -9,9 +11,13 @@
 from arbutusladder.ids import JobId
 from arbutusladder.platform.routes import Queue
 
+# Shortest time in seconds between two reads of all progress. Few jobs need one: those
+# that ended and were deleted while this entry VM could not read the log.
+MIN_RELOAD_INTERVAL_S = 2.0
+
 
 class JobAccess:
-    """Checks access to jobs. It keeps no state of its own.
+    """Checks access to jobs.
 
     Args:
         member: Cell member of this entry VM.
@@ -21,6 +27,7 @@
     def __init__(self, member: Member, clock: Clock):
         self._member = member
         self._clock = clock
+        self._reload_allowed_at = -math.inf
 
     async def may_use(self, caller: Caller, queue: Queue, job_id: JobId) -> bool:
         """Returns whether a caller may use a job, or no job with the id is stored.
@@ -35,9 +42,18 @@
             await self._member.read_jobs()
         if table.team(job_id) is None and table.phase(job_id) is not None:
             # The owner has relayed a state, and the submission is already deleted.
-            await self._member.reload_progress()
+            await self._reload_progress()
+            if table.team(job_id) is None:
+                return False
         return self.is_allowed(caller, queue, job_id)
 
+    async def _reload_progress(self) -> None:
+        now = self._clock.now()
+        if now < self._reload_allowed_at:
+            raise LogUnavailable("progress was just read", maybe_applied=False)
+        self._reload_allowed_at = now + MIN_RELOAD_INTERVAL_S
+        await self._member.reload_progress()
+
     async def may_submit(
         self, caller: Caller, queue: Queue, job_id: JobId, deadline: float
     ) -> bool:
@@ -68,7 +84,7 @@
             raise LogUnavailable("no answer in time", maybe_applied=False) from error
 
     def is_allowed(self, caller: Caller, queue: Queue, job_id: JobId) -> bool:
-        """Returns whether a caller may use a job by what is known here now."""
+        """Returns false if the job is known here to be closed to the caller."""
         if caller == Unrestricted():
             return True
         team = self._member.table.team(job_id)
--- a/tests/cell/test_jobtable.py
+++ b/tests/cell/test_jobtable.py
@@ -1,5 +1,7 @@
 """Tests of the table of jobs: ends that are reported before they are stored."""
 
+from dataclasses import replace
+
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import KeyedRecord
 from arbutusladder.cell.jobtable import (
@@ -108,6 +110,36 @@
         assert table.job_by_id[RECORD.job_id].progress.stages == stages
 
 
+class TestTeam:
+    """Pattern: the submission of a team's job is deleted after its end."""
+
+    def test_team_is_known_without_the_submission(self):
+        """Guards against showing a finished job to every team."""
+        record = replace(RECORD, team="red")
+        job = CellState(0.0, lambda task: None).add_job(
+            record, JobProgress(JobPhase.QUEUED), NOW
+        )
+        job.phase = JobPhase.COMPLETED
+        item = progress_item(record.job_id, job.progress())
+        for records in ([submission_item(record)], []):
+            table = JobTable()
+            table.apply_jobs([KeyedRecord(0, *row) for row in records])
+            table.apply_progress([KeyedRecord(0, *item)])
+            table.apply_jobs([KeyedRecord(1, record.job_id, b"")])
+            assert table.team(record.job_id) == "red"
+
+    def test_relayed_state_names_no_team(self):
+        """Guards against a job that counts as one without a team."""
+        state = RelayedState(RECORD.job_id, JobPhase.RUNNING)
+        table = JobTable()
+        table.apply_relayed_states(5, [state])
+        assert table.team(RECORD.job_id) is None
+        record = replace(RECORD, team="red")
+        table.apply_jobs([KeyedRecord(0, *submission_item(record))])
+        table.apply_relayed_states(6, [state])
+        assert table.team(RECORD.job_id) == "red"
+
+
 class TestPrunedWhileAway:
     """Pattern: an entry VM misses the records of an end and of its deletion."""
 
--- a/tests/platform/test_routes.py
+++ b/tests/platform/test_routes.py
@@ -9,6 +9,7 @@
 from hypothesis import given, strategies
 
 from arbutusladder.cell.jobtable import submission_item
+from arbutusladder.messages import Resources
 from arbutusladder.platform.jobbody import decode_job
 from arbutusladder.platform.routes import decode_config
 from tests.cell import workloads
@@ -90,6 +91,27 @@
         assert queue.timeout_s == pytest.approx(3.057)
         assert queue.terms.advice_s == pytest.approx(0.01872)
 
+    def test_teams_are_translated(self):
+        """Guards against lost keys and limits, and against needing keys without teams.
+
+        A field that is 0 or missing means no limit.
+        """
+        row = {"name": "red", "api-keys": ["k"], "priority": 2, "weight": 2.5}
+        cap = {"cpu": 1500, "mem-mb": 64, "gpu": 0}
+        tenants = [row | {"cap": cap}, {"name": "blue", "weight": 0}]
+        public = ROUTE | {"public": True, "path-prefix": "/open/"}
+        config = CONFIG | {"tenants": tenants, "routes": [ROUTE, public]}
+        table = decode_config(json.dumps(config).encode())
+        assert table.keys.find_team(b"k") == "red"
+        assert table.terms_by_team["red"].weight == 2.5
+        assert table.terms_by_team["red"].cap == Resources(1.5, 64, 0)
+        assert table.terms_by_team["blue"].cap == Resources()
+        assert table.terms_by_team["blue"].weight > 0
+        assert table.find_queue("nony24.example", "/open/x").public
+        without_teams = decode_config(json.dumps(CONFIG).encode())
+        assert without_teams.keys is None
+        assert not without_teams.find_queue("nony24.example", "/pule252/x").public
+
     @pytest.mark.parametrize("version", [0, 1786672645061123456, 2**63 - 1])
     def test_versions_in_uneven_steps_are_decoded(self, version):
         """Guards against refusing versions that are derived from the time."""
