Place steps of teams within their fair share first

Steps that have been too late for 30 s get a turn on 5 % of the cores, so that they do not starve. Without teams the order is unchanged.

--- a/arbutusladder/cell/decisionround.py
+++ b/arbutusladder/cell/decisionround.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.advicecalls import AdviceCapacity
+from arbutusladder.cell.stageorder import StageOrder
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.workers import Worker
@@ -27,6 +28,7 @@
         reserving_gangs: Number of gangs that have reserved workers.
         sound_services: Services with a waiting step whose runs do not fail everywhere.
             Workers on trial are left to these steps.
+        order: Steps that are ready to start.
         capped_stages: Keys of the steps that wait for the cap of their team.
     """
 
@@ -34,6 +36,7 @@
     available_workers: list[Worker]
     nonurgent_cpu_by_service: dict[str, float]
     advice: AdviceCapacity
+    order: StageOrder
     reserved_vms: set[VmId] = field(default_factory=set)
     reserving_gangs: int = 0
     sound_services: frozenset[str] = frozenset()
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -14,11 +14,14 @@
     service_of,
 )
 from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
+from arbutusladder.cell.overdue import OverdueSteps
 from arbutusladder.cell.runs import Run
+from arbutusladder.cell.stageorder import StageOrder
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import RunPhase, WaitCause
-from arbutusladder.cell.steppriority import is_urgent, priority_key
+from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.teamusage.capwaits import CapWaits
+from arbutusladder.cell.teamusage.fairness import FairShares
 from arbutusladder.cell.workers import Worker
 from arbutusladder.cell.workerselection import (
     fits_idle_workers,
@@ -33,7 +36,7 @@
 )
 from arbutusladder.ids import VmId
 from arbutusladder.messages import Resources
-from arbutusladder.resources import fits
+from arbutusladder.resources import add, fits
 
 # Waiting gangs that may reserve workers at the same time.
 MAX_RESERVING_GANGS = 2
@@ -65,6 +68,7 @@
         self._cell = cell
         self.load = LoadSummary()
         self.cap_waits = CapWaits()
+        self._overdue = OverdueSteps()
         self._last_round_at: float | None = None
 
     def decide(
@@ -101,11 +105,12 @@
             workers,
             nonurgent_cpu_by_service(workers),
             advice,
+            self._order(waiting, workers, now),
             sound_services=frozenset(sound),
         )
         since_last_round_s = now - (self._last_round_at or now)
         self._last_round_at = now
-        for stage in waiting:
+        while stage := this_round.order.pop():
             placed = self._place_stage(stage, this_round)
             orders += placed
             starts = [order for order in placed if isinstance(order, StartOrder)]
@@ -120,6 +125,8 @@
                     waits=_format_waits(stage.take_waits()),
                     view=view_age_s,
                 )
+                if this_round.order.is_overtaken(stage) and stage.waiting_tasks():
+                    this_round.order.push_back(stage)
             else:
                 cause = _wait_cause(stage, this_round)
                 stage.record_wait(cause, since_last_round_s)
@@ -150,7 +157,20 @@
                     and job.dependencies_done(stage)
                 ):
                     found.append(stage)
-        return sorted(found, key=lambda stage: priority_key(stage, now))
+        return found
+
+    def _order(
+        self, waiting: list[Stage], workers: list[Worker], now: float
+    ) -> StageOrder:
+        """Returns the order of the waiting steps; only teams change it in a round."""
+        ledger = self._cell.team_ledger
+        if not ledger.has_teams or not waiting:
+            return StageOrder(waiting, now)
+        total = Resources()
+        for worker in workers:
+            total = add(total, worker.entry.capacity)
+        overdue = self._overdue.select(waiting, ledger, total.cpu, now)
+        return StageOrder(waiting, now, FairShares(ledger, total, waiting), overdue)
 
     def due_stops(self, now: float) -> list[StopOrder]:
         """Returns the stop orders to send now.
@@ -226,6 +246,8 @@
                 break
             orders.append(self._start(stage, index, worker, ticket or "", now))
             this_round.consume_cpu(stage, need.cpu)
+            if this_round.order.is_overtaken(stage):
+                break
         if needs_ticket:
             vms = select_renewal_workers(stage, worker, candidates)
             renewal = self._request_advice(stage, vms, this_round)
--- a/arbutusladder/cell/steppriority.py
+++ b/arbutusladder/cell/steppriority.py
@@ -1,8 +1,10 @@
 """Priority order of waiting steps, computed from their jobs without any state."""
 
+import math
 from enum import IntEnum
 
-from arbutusladder.cell.celljobs import LATE_OBJECTIVE_FACTOR, Job
+from arbutusladder.cell.celljobs import LATE_OBJECTIVE_FACTOR
+from arbutusladder.cell.jobstate import JobState
 from arbutusladder.cell.stages import Stage
 
 # Queues with at most this priority number are urgent: their tasks may use the cores
@@ -22,7 +24,7 @@
     TOO_LATE = 2
 
 
-def timeliness(job: Job, stage: Stage, now: float) -> Timeliness:
+def timeliness(job: JobState, stage: Stage, now: float) -> Timeliness:
     """Returns the timeliness of a job if a step starts now.
 
     Long-running and recurring jobs always count as in time.
@@ -32,10 +34,24 @@
     ends_at = now + job.remaining_s_by_step[stage.step]
     if ends_at <= job.objective_at:
         return Timeliness.IN_TIME
-    credit_ends_at = job.accepted_at + LATE_OBJECTIVE_FACTOR * (
-        job.objective_at - job.accepted_at
-    )
-    return Timeliness.LATE if ends_at <= credit_ends_at else Timeliness.TOO_LATE
+    is_late = ends_at <= credit_ends_at(job)
+    return Timeliness.LATE if is_late else Timeliness.TOO_LATE
+
+
+def credit_ends_at(job: JobState) -> float:
+    """Returns the monotonic time in seconds from which the end of a job earns none."""
+    objective_s = job.objective_at - job.accepted_at
+    return job.accepted_at + LATE_OBJECTIVE_FACTOR * objective_s
+
+
+def too_late_at(job: JobState, step: int) -> float:
+    """Returns the monotonic time in seconds from which the start of a step is too late.
+
+    Infinite for long-running and recurring jobs.
+    """
+    if job.is_long_running or job.record.times:
+        return math.inf
+    return credit_ends_at(job) - job.remaining_s_by_step[step]
 
 
 def is_urgent(stage: Stage) -> bool:
--- a/arbutusladder/cell/teamusage/ledger.py
+++ b/arbutusladder/cell/teamusage/ledger.py
@@ -16,6 +16,8 @@
 class TeamLedger(TeamUsage):
     """Charges by team for runs and planned gangs, compared with the caps.
 
+    Jobs without a team are charged to the empty name, which has no cap.
+
     A run is charged from its creation, before its order is sent, to its proven end.
     While workers have not reported after a takeover, tasks that they may run are
     charged as well.
@@ -36,23 +38,19 @@
 
     def charge(self, run: Run) -> None:
         """Charges a new run to its team."""
-        if run.team:
-            self.adjust(run.team, run.charge)
+        self.adjust(run.team, run.charge)
 
     def release(self, run: Run) -> None:
         """Releases the charge of a run that has ended."""
-        if run.team:
-            self.adjust(run.team, subtract(Resources(), run.charge))
+        self.adjust(run.team, subtract(Resources(), run.charge))
 
     def charge_plan(self, stage: Stage) -> None:
         """Charges the planned starts of a gang."""
-        if stage.job.team:
-            self.adjust(stage.job.team, _plan_charge(stage))
+        self.adjust(stage.job.team, _plan_charge(stage))
 
     def release_plan(self, stage: Stage) -> None:
         """Releases the charge of planned starts."""
-        if stage.job.team:
-            self.adjust(stage.job.team, subtract(Resources(), _plan_charge(stage)))
+        self.adjust(stage.job.team, subtract(Resources(), _plan_charge(stage)))
 
     def set_inherited(self, jobs: Iterable[Job]) -> None:
         """Charges what jobs of a predecessor may run on workers without a report.
@@ -63,9 +61,8 @@
         """
         self._inherited_by_team = {}
         for job in jobs:
-            if job.team:
-                charged = self._inherited_by_team.get(job.team, Resources())
-                self._inherited_by_team[job.team] = add(charged, _waiting_need(job))
+            charged = self._inherited_by_team.get(job.team, Resources())
+            self._inherited_by_team[job.team] = add(charged, _waiting_need(job))
 
     def charged(self, team: TeamName) -> Resources:
         """Returns all that a team may have running, with its planned gangs."""
@@ -73,6 +70,27 @@
         inherited = self._inherited_by_team.get(team)
         return add(used, inherited) if inherited else used
 
+    def weight(self, team: TeamName) -> float:
+        """Returns the weight of a team; 1 for one that is not configured."""
+        terms = self.limits.terms_by_name.get(team)
+        return terms.weight if terms else 1.0
+
+    def demand_by_team(self, waiting: list[Stage]) -> dict[TeamName, Resources]:
+        """Returns what each team would use if all ready work ran, up to its cap.
+
+        Args:
+            waiting: Steps that are ready to start.
+        """
+        demands = {team: self.charged(team) for team in self.used_by_team}
+        for stage in waiting:
+            team = stage.job.team
+            need = scale(stage.spec.need, len(stage.waiting_tasks()))
+            demands[team] = add(demands.get(team, Resources()), need)
+        for team, terms in self.limits.terms_by_name.items():
+            if team in demands:
+                demands[team] = _up_to(demands[team], terms.cap)
+        return demands
+
     def may_start(self, stage: Stage) -> bool:
         """Returns whether the cap allows a task of a step, or its whole gang, to start.
 
@@ -97,14 +115,21 @@
     """
     usage = TeamUsage()
     for run in runs:
-        if run.team:
-            usage.adjust(run.team, run.charge)
+        usage.adjust(run.team, run.charge)
     for stage in planned:
-        if stage.job.team:
-            usage.adjust(stage.job.team, _plan_charge(stage))
+        usage.adjust(stage.job.team, _plan_charge(stage))
     return usage.used_by_team
 
 
+def _up_to(amount: Resources, cap: Resources) -> Resources:
+    """Returns an amount limited by a cap, where 0 is no limit."""
+    return Resources(
+        min(amount.cpu, cap.cpu or amount.cpu),
+        min(amount.memory_mb, cap.memory_mb or amount.memory_mb),
+        min(amount.accelerators, cap.accelerators or amount.accelerators),
+    )
+
+
 def _plan_charge(stage: Stage) -> Resources:
     return scale(stage.spec.need, len(stage.plan))
 
