--- a/tests/cell/test_stageorder.py
+++ b/tests/cell/test_stageorder.py
@@ -7,7 +7,7 @@
 from arbutusladder.cell.celljobs import create_job
 from arbutusladder.cell.interfaces import TeamLimits
 from arbutusladder.cell.joblimits import JobLimits
-from arbutusladder.cell.overdue import MAX_TOO_LATE_WAIT_S
+from arbutusladder.cell.overdue import MAX_TOO_LATE_WAIT_S, TURN_S, OverdueSteps
 from arbutusladder.cell.simulation import Simulation
 from arbutusladder.cell.stageorder import StageOrder
 from arbutusladder.cell.states import JobPhase
@@ -23,9 +23,10 @@
 HOPELESS = workloads.queue("hopeless", 2, 0.1, 0.0)
 
 
-def stage(number, team, make=workloads.audit, **fields):
+def stage(number, team, make=workloads.audit, queue=None, **fields):
     """Returns the step of a new job."""
-    record = dataclasses.replace(make(number, **fields), team=team)
+    record = make(number, **fields)
+    record = dataclasses.replace(record, team=team, queue=queue or record.queue)
     job = create_job(record, JobPhase.QUEUED, NOW, False, 0.0, JobLimits())
     job.open_due_occurrences(NOW)
     (found,) = job.stage_by_key.values()
@@ -78,6 +79,14 @@
         assert [order.pop() for _ in stages] == [other, *urgent]
         assert not order.is_overtaken(urgent[1])
 
+    def test_demand_above_a_cap_does_not_lower_the_shares_of_others(self):
+        ledger = TeamLedger()
+        ledger.limits = TeamLimits({"a": TeamTerms("a", cap=Resources(20.0))})
+        waiting = [stage(1, "a", count=90, cpu=1.0), stage(2, "b", count=20, cpu=1.0)]
+        ledger.adjust("b", Resources(100.0))
+        shares = FairShares(ledger, Resources(200.0, 0.0), waiting)
+        assert not shares.is_over("b")
+
     def test_wide_step_leaves_room_for_another_team(self):
         """Guards against one step that takes the cell within one round."""
         limits = TeamLimits({name: TeamTerms(name) for name in "ab"})
@@ -129,6 +138,19 @@
         assert MAX_TOO_LATE_WAIT_S < turnaround < MAX_TOO_LATE_WAIT_S + 2 * 2.2
         assert self.play(1, teams=())[0] == [None]
 
+    def test_turn_passes_on_from_steps_that_cannot_start(self):
+        """Guards against a gang that fits nowhere, or a cap, that keeps the turn."""
+        ledger, overdue = TeamLedger(), OverdueSteps()
+        first, second, third = waiting = [
+            stage(number, team, queue=HOPELESS) for number, team in enumerate("abc")
+        ]
+        now = NOW + MAX_TOO_LATE_WAIT_S + 5.0
+        assert set(overdue.select(waiting, ledger, TOTAL.cpu, now)) == {first.key}
+        now += TURN_S + 1.0
+        assert set(overdue.select(waiting, ledger, TOTAL.cpu, now)) == {second.key}
+        ledger.limits = TeamLimits({"b": TeamTerms("b", cap=Resources(1.0))})
+        assert set(overdue.select(waiting, ledger, TOTAL.cpu, now)) == {third.key}
+
     def test_much_overdue_work_leaves_the_cell_to_others(self):
         """Guards against a lasting overload in which nothing is in time any more."""
         turnarounds, in_time = self.play(40)
