Workload of deployment 2 with workers of different speed, in virtual time

The workloads of the simulation knew only equal workers. The new kinds and speeds are those of deployment 2 in docs/hard-load.md; results also count late jobs by queue.

--- a/tests/cell/mixedworkloads.py
+++ b/tests/cell/mixedworkloads.py
@@ -78,6 +78,30 @@
     ),
 ]
 
+# Jobs of deployment 2 of docs/hard-load.md, on 176 workers of 64 cores and 256 GB.
+UNEVEN_CELL_KINDS = [
+    JobKind(
+        _advised_queue("residuals", 1, 2.2, 1.0, 3, (0.702, 0.01, 1.5)),
+        *(2.1, 1.0, 20, 18.0, 18000.0, 4.2, 13.4, 0.25, 0.9, 1.0),
+    ),
+    JobKind(
+        _advised_queue("audits", 2, 4.0, 3.0, 2, (0.104, 0.00143, 1.5)),
+        *(3.5, 1.0, 25, 6.9, 10000.0, 2.9, 2.59, 0.45, 0.9),
+    ),
+    JobKind(
+        _advised_queue("quotes", 0, 1.5, 0.254, 2, (0.0117, 0.000169, 1.5)),
+        *(48.0, 1.0, 3.0, 9.9, 9000.0, 0.68, 0.405, 0.7, 0.2, 0.3),
+    ),
+]
+# Speeds of its workers, which are drawn by worker.
+UNEVEN_SPEEDS = (0.6, 1.0, 1.6)
+
+
+def draw_speeds(seed, entries, speeds):
+    """Returns the speed of each worker, drawn evenly from a few speeds."""
+    rng = random.Random(seed)
+    return {entry.vm: rng.choice(speeds) for entry in entries}
+
 
 @dataclass
 class SimulationResult:
@@ -87,11 +111,21 @@
         seconds: Seconds with arrivals.
         advice_s: Total duration of all calls to the advice service in seconds.
         value_by_queue: Earned and possible value of each queue.
+        jobs_by_queue: Numbers of the jobs in time, late and without value of each
+            queue, of those submitted after the warm-up.
+        simulation: The simulation at its end.
     """
 
     seconds: float
     advice_s: float = 0.0
     value_by_queue: dict = field(default_factory=dict)
+    jobs_by_queue: dict = field(default_factory=dict)
+    simulation: Simulation | None = None
+
+    def late_share(self, queue):
+        """Returns the share of a queue's jobs that did not end in time."""
+        jobs = self.jobs_by_queue[queue]
+        return 1.0 - jobs[0] / sum(jobs)
 
     def earned_share(self, queue):
         """Returns the share of a queue's value that was earned."""
@@ -125,7 +159,17 @@
     return workloads.job(number, kind.terms, *steps), durations
 
 
-def simulate(kinds, seed, seconds, surge=None, workers=176, callers=28):
+def simulate(
+    kinds,
+    seed,
+    seconds,
+    surge=None,
+    workers=176,
+    callers=28,
+    speeds=(1.0,),
+    memory_mb=131072.0,
+    warm_up_s=0.0,
+):
     """Simulates a mixed workload.
 
     Args:
@@ -135,10 +179,15 @@
         surge: Queue, rate factor, first and last second of each surge.
         workers: Number of workers.
         callers: Number of concurrent calls to the advice service.
+        speeds: Speeds from which that of each worker is drawn.
+        memory_mb: Memory of a worker in megabytes.
+        warm_up_s: Seconds from the start whose jobs are not counted by lateness.
 
     Returns:
         The result.
     """
+    entries = workloads.workers(workers, memory_mb=memory_mb, rack=8)
+    speed_by_vm = draw_speeds(seed, entries, speeds)
     rng = random.Random(seed)
     durations_by_job, plan = {}, []
     number = 0
@@ -159,7 +208,8 @@
     def duration(task, vm):
         job_id, _, step, index = task.split(".")
         spread = random.Random(f"{task}")
-        return durations_by_job[job_id][int(step)] * spread.uniform(0.85, 1.15)
+        seconds = durations_by_job[job_id][int(step)] * spread.uniform(0.85, 1.15)
+        return seconds / speed_by_vm[vm]
 
     permitted_share_by_queue = {kind.terms.name: kind.permitted_share for kind in kinds}
     queue_by_job = {record.job_id: kind.terms.name for _, kind, record in plan}
@@ -169,7 +219,7 @@
         return zlib.crc32(f"{stage}/{vm}".encode()) % 1000 < share * 1000
 
     simulation = Simulation(
-        workloads.workers(workers, rack=8),
+        entries,
         duration,
         lambda task, vm: EndKind.DONE,
         permits,
@@ -181,7 +231,7 @@
         LATE_OBJECTIVE_FACTOR * _objective_s(r, durations_by_job) for _, _, r in plan
     )
     simulation.run(seconds + min(longest, 20.0))
-    return _evaluate(seconds, plan, durations_by_job, simulation)
+    return _evaluate(seconds, plan, durations_by_job, simulation, warm_up_s)
 
 
 def _objective_s(record, durations_by_job):
@@ -200,14 +250,14 @@
     return StepSpec(step.count, step.need, seconds, step.after, gang=step.gang)
 
 
-def _evaluate(seconds, plan, durations_by_job, simulation):
-    result = SimulationResult(seconds, simulation.advice_s)
+def _evaluate(seconds, plan, durations_by_job, simulation, warm_up_s):
+    result = SimulationResult(seconds, simulation.advice_s, simulation=simulation)
     core_seconds_by_queue = {}
     for _, _kind, record in plan:
         core_seconds_by_queue.setdefault(record.queue.name, []).append(
             _core_seconds(record, durations_by_job)
         )
-    for _, kind, record in plan:
+    for when, kind, record in plan:
         queue_core_seconds = core_seconds_by_queue[record.queue.name]
         share = _core_seconds(record, durations_by_job) / (
             sum(queue_core_seconds) / len(queue_core_seconds)
@@ -215,15 +265,17 @@
         possible = kind.value * min(4.0, 0.3 + 0.7 * share)
         turnaround = simulation.turnaround_s(record.job_id)
         objective = _objective_s(record, durations_by_job)
-        earned = 0.0
+        earned, outcome = 0.0, 2
         done = simulation.phase_by_job.get(record.job_id) is JobPhase.COMPLETED
         if done and turnaround <= objective:
-            earned = possible
+            earned, outcome = possible, 0
         elif done and turnaround <= LATE_OBJECTIVE_FACTOR * objective:
-            earned = possible * LATE_VALUE_SHARE
+            earned, outcome = possible * LATE_VALUE_SHARE, 1
         totals = result.value_by_queue.setdefault(record.queue.name, [0.0, 0.0])
         totals[0] += earned
         totals[1] += possible
+        jobs = result.jobs_by_queue.setdefault(record.queue.name, [0, 0, 0])
+        jobs[outcome] += when >= warm_up_s
     return result
 
 
