Learn the speeds of workers and choose workers by them

The owner now learns the long-term speed of each worker, with its uncertainty, from ends and progress of runs of the same step, and the ratio of actual to estimated duration by queue and image. Steps use the slowest class of workers on which they meet their objective; gangs use workers of one class where they fit. cell/speed.py moves to cell/performance and no longer imports workers, which ends that import cycle. A run that resumes from a checkpoint no longer counts as observed from its start: its duration was extrapolated from work that it had not done.

--- a/arbutusladder/cell/advicecalls.py
+++ b/arbutusladder/cell/advicecalls.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from arbutusladder.cell.performance.groups import speed_groups
+from arbutusladder.cell.performance.preference import SpeedPreference
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.workers import Worker
 from arbutusladder.cell.workerselection import count_fitting_tasks
@@ -91,22 +93,39 @@
 
 
 def select_advice_workers(
-    stage: Stage, candidates: list[Worker], demand: AdviceDemand
+    stage: Stage,
+    candidates: list[Worker],
+    demand: AdviceDemand,
+    preference: SpeedPreference | None = None,
 ) -> tuple[VmId, ...]:
     """Returns the workers that an advice call should name, most remaining CPU first.
 
     Each worker named makes the call longer, so only enough for the step's tasks are
-    named.
+    named. They are of one speed class if that has enough room, so that a gang need not
+    use several.
 
     Args:
         stage: Step that needs advice.
         candidates: Workers for which the step has no advice yet.
         demand: Demand of the steps with a call in progress.
+        preference: Classes of workers that the step prefers by their speed.
     """
     wanted_slots = len(stage.tasks) / EXPECTED_APPROVAL_SHARE
+    groups = speed_groups(candidates, preference)
+    for group in groups:
+        selected, slots = _select_from_group(stage, group, demand, wanted_slots)
+        if slots >= wanted_slots and len(selected) >= MIN_WORKERS_PER_CALL:
+            break
+    return tuple(selected)
+
+
+def _select_from_group(
+    stage: Stage, group: list[Worker], demand: AdviceDemand, wanted_slots: float
+) -> tuple[list[VmId], float]:
+    """Returns the workers to name of a group, and the expected slots on them."""
     selected: list[VmId] = []
     expected_slots = 0.0
-    ranked = [(demand.remaining(worker), worker) for worker in candidates]
+    ranked = [(demand.remaining(worker), worker) for worker in group]
     ranked.sort(key=lambda pair: -pair[0].cpu)
     for remaining, worker in ranked:
         if len(selected) >= MAX_WORKERS_PER_CALL:
@@ -115,4 +134,4 @@
             break
         selected.append(worker.entry.vm)
         expected_slots += count_fitting_tasks(stage, remaining)
-    return tuple(selected)
+    return selected, expected_slots
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -20,6 +20,7 @@
 )
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.cell.pendingchanges import PendingChanges
+from arbutusladder.cell.performance.tracker import PerformanceTracker
 from arbutusladder.cell.reports import ReportProcessor
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage, stage_key
@@ -77,6 +78,7 @@
             that they must not be extended.
         advice_demand: Demand of the steps with a call for advice in progress.
         changes: Changes that are not logged or stored yet.
+        performance: Learnt speeds of workers and durations of tasks.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.listed_expiring_vms: set[VmId] = set()
         self.advice_demand = AdviceDemand()
         self.changes = PendingChanges()
+        self.performance = PerformanceTracker(self.record_event)
         self._token_number_by_vm: dict[VmId, int] = {}
         self._report_processor = ReportProcessor(self)
 
@@ -570,7 +573,7 @@
             stage.spec.need if not stage.spec.fills else _memory_only(stage),
             phase,
             now,
-            from_start=phase is RunPhase.SENT,
+            from_start=phase is RunPhase.SENT and not stage.resumes(index),
             progressed_at=now,
             observed_at=now,
             lasting=stage.spec.lasting,
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import replace
+from dataclasses import asdict, replace
 from typing import TYPE_CHECKING
 
 import curio
@@ -400,15 +400,11 @@
         return max(0.0, newest_s - APPEND_WAKEUPS * self._timer_delay_s)
 
     def _log_load(self) -> None:
-        load = self._placer.load
+        self.state.performance.report(self._dependencies.metrics)
         usage = self.advice_dispatcher.take_usage()
         self._dependencies.journal.write(
             events.OWNER_LOAD,
-            jobs=load.jobs,
-            waiting=load.waiting,
-            free=load.free,
-            total=load.total,
-            open=load.open,
+            **asdict(self._placer.load),
             workers=len(self.state.worker_by_vm),
             advising=self.advice_dispatcher.calls_in_progress,
             advised=usage.calls,
--- /dev/null
+++ b/arbutusladder/cell/performance/__init__.py
@@ -0,0 +1,1 @@
+"""Learnt speeds of workers and durations of tasks."""
--- a/arbutusladder/cell/speed.py
+++ b/arbutusladder/cell/performance/speed.py
@@ -1,14 +1,10 @@
-"""Estimates of worker speed from the progress of their runs."""
-
-from __future__ import annotations
+"""Short-term estimates of worker speed, which show slow and stalled workers."""
 
 import math
 import statistics
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from arbutusladder.cell.workers import Run
+from arbutusladder.cell.runs import Run
 
 # Shortest time in seconds between two observations of a run. Workers report whole
 # percentages, so shorter ones of long tasks would often show no progress.
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -11,6 +11,10 @@
 from arbutusladder.cell.advicecalls import AdviceCapacity, select_advice_workers
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
+from arbutusladder.cell.performance.preference import (
+    SpeedPreference,
+    speed_preference,
+)
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import RunPhase, WaitCause
@@ -142,6 +146,7 @@
             for worker in self._cell.worker_by_vm.values()
             if self._cell.accepts_tasks(worker, now)
         ]
+        self._cell.performance.update_classes(self._cell.worker_by_vm.values(), now)
         total = sum(worker.entry.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
         waiting = self._waiting_stages(now)
@@ -245,10 +250,11 @@
         now, need = this_round.now, stage.spec.need
         orders: list[Order] = []
         needs_ticket = False
+        preference = self._speed_preference(stage, now)
         for index in stage.waiting_tasks():
             if need.cpu > this_round.available_cpu(stage):
                 break
-            worker = select_worker(stage, candidates, now)
+            worker = select_worker(stage, candidates, now, preference)
             if worker is None:
                 break
             ticket = stage.advice.valid_ticket(worker.entry.vm, now)
@@ -258,7 +264,7 @@
             orders.append(self._start(stage, index, worker, ticket or "", now))
             this_round.consume_cpu(stage, need.cpu)
         if needs_ticket:
-            vms = select_renewal_workers(stage, worker, candidates)
+            vms = select_renewal_workers(stage, worker, candidates, preference)
             renewal = self._request_advice(stage, vms, this_round)
             stage.advice.renewals += len(renewal)
             orders += renewal
@@ -268,9 +274,10 @@
         self, stage: Stage, candidates: list[Worker], this_round: DecisionRound
     ) -> list[Order]:
         now = this_round.now
-        chosen = select_gang_workers(stage, candidates, now)
+        preference = self._speed_preference(stage, now)
+        chosen = select_gang_workers(stage, candidates, now, preference)
         if chosen is None and self._may_leave_rack(stage, this_round):
-            chosen = select_gang_workers_anywhere(stage, candidates, now)
+            chosen = select_gang_workers_anywhere(stage, candidates, now, preference)
         need_cpu = stage.spec.need.cpu * len(stage.tasks)
         if chosen is None or need_cpu > this_round.available_cpu(stage):
             self._reserve_for_gang(stage, this_round)
@@ -293,6 +300,10 @@
         stage.plan = [(index, w.entry.vm) for index, w in enumerate(chosen)]
         return orders
 
+    def _speed_preference(self, stage: Stage, now: float) -> SpeedPreference | None:
+        speed_by_class = self._cell.performance.speed_by_class
+        return speed_preference(stage, speed_by_class, now)
+
     def _may_leave_rack(self, stage: Stage, this_round: DecisionRound) -> bool:
         """Returns whether a gang that prefers one rack may use several.
 
@@ -396,7 +407,8 @@
             and fits(stage.spec.need, self._resources_to_match(stage, worker))
         ]
         demand = self._cell.advice_demand
-        vms = select_advice_workers(stage, unasked, demand)
+        preference = self._speed_preference(stage, this_round.now)
+        vms = select_advice_workers(stage, unasked, demand, preference)
         orders = self._request_advice(stage, vms, this_round) if vms else []
         if orders:
             demand.begin_call(stage, vms)
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -83,6 +83,7 @@
             case EndKind.DONE:
                 if run:
                     worker.record_success(run)
+                self._cell.performance.record_done(worker, run, stage, now)
                 self._cell.complete_task(stage, index)
             case EndKind.FAILED:
                 if run:
@@ -123,6 +124,7 @@
         if stage:
             expected_s = stage.expected_duration_s(now)
             worker.record_progress(run, row.percent, expected_s, now)
+            self._cell.performance.record_progress(worker, run, stage, now)
             worker.record_running(run, stage.spec.lasting, now)
             if run.proven:
                 stage.failed_vms.clear()
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -23,7 +23,8 @@
         need: Resources reserved on the worker until the run has ended.
         phase: State of the run as known to the owner.
         changed_at: Monotonic time in seconds of the last change of the phase.
-        from_start: Whether this owner observed the run from its start.
+        from_start: Whether this owner observed the task's work from its start, which
+            does not resume from a checkpoint.
         percent: Completed percentage of its work.
         progressed_at: Monotonic time in seconds at which the percentage last rose.
         observed_at: Monotonic time in seconds of the last observed percentage.
@@ -41,6 +42,7 @@
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
         lasting: Whether it runs until its job is cancelled.
+        measured: Whether its duration was used to learn the speed of its worker.
     """
 
     task: str
@@ -66,6 +68,7 @@
     ordered_born: int = 0
     token_number: int = -1
     lasting: bool = False
+    measured: bool = False
 
     @property
     def key(self) -> RunKey:
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -6,8 +6,9 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S, expected_duration_s
+from arbutusladder.cell.performance.stepruns import StepDurations
 from arbutusladder.cell.runs import Run
-from arbutusladder.cell.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.states import WaitCause
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import (
@@ -126,6 +127,7 @@
         wait_s_by_cause: Seconds waited since the last start of the step, by cause.
         failed_vms: Workers on which runs of a step that lasts have failed since one of
             them counted as a success.
+        durations: Durations of its runs, which show the speeds of their workers.
     """
 
     key: str
@@ -140,6 +142,7 @@
     restart_wait_s: float = 0.0
     wait_s_by_cause: dict[WaitCause, float] = field(default_factory=dict)
     failed_vms: set[VmId] = field(default_factory=set)
+    durations: StepDurations = field(default_factory=StepDurations)
     _expected_s: float = 0.0
     _expected_at: float = -math.inf
 
@@ -217,6 +220,11 @@
         """Returns the name of a task."""
         return f"{self.key}.{index}"
 
+    def resumes(self, index: int) -> bool:
+        """Returns whether the next run of a task resumes from a checkpoint."""
+        checkpoint = self.tasks[index].checkpoint
+        return bool(self.gang_checkpoint() if self.spec.gang else checkpoint)
+
     def gang_checkpoint(self) -> str:
         """Returns the checkpoint from which all members resume; empty without one."""
         checkpoints = [task.checkpoint for task in self.tasks if task.checkpoint]
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -4,12 +4,9 @@
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.interfaces import WorkerEntry
+from arbutusladder.cell.performance.longterm import WorkerSpeed
+from arbutusladder.cell.performance.speed import FINISHED_PERCENT, MIN_OBSERVATION_S
 from arbutusladder.cell.runs import Run, RunKey
-from arbutusladder.cell.speed import (
-    FINISHED_PERCENT,
-    MIN_OBSERVATION_S,
-    SpeedEstimate,
-)
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId
 from arbutusladder.messages import Resources
@@ -67,7 +64,7 @@
         trial_task: Task that runs while the worker is on trial.
         last_end_number: Number of the newest end that was reported.
         job_by_end: Job of each reported end that is not acknowledged, by its number.
-        speed: Estimate of its speed.
+        speed: Estimate of its speed, in the short and the long term.
         token_number: Number of the fencing token of calls to it.
         token_used: Whether a call under this number may still start a run, extend a
             lease or acknowledge an end.
@@ -90,7 +87,7 @@
     trial_task: str | None = None
     last_end_number: int = 0
     job_by_end: dict[int, JobId] = field(default_factory=dict)
-    speed: SpeedEstimate = field(default_factory=SpeedEstimate)
+    speed: WorkerSpeed = field(default_factory=WorkerSpeed)
     token_number: int = 0
     token_used: bool = False
     restart_confirmed: bool = False
@@ -127,7 +124,7 @@
         self.job_by_end.clear()
         self.failures = 0
         self.failed_jobs.clear()
-        self.speed = SpeedEstimate()
+        self.speed = WorkerSpeed()
         self._clock = None
         self._restarted, self.restart_confirmed = True, False
         self.raise_token()
--- a/arbutusladder/cell/workerselection.py
+++ b/arbutusladder/cell/workerselection.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from arbutusladder.cell.performance.groups import speed_groups
+from arbutusladder.cell.performance.preference import SpeedPreference
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.workers import GANG_TRIAL_AFTER_S, Worker
 from arbutusladder.ids import VmId
@@ -12,24 +14,31 @@
 MAX_RENEWAL_WORKERS = 6
 # Renewals without a start after which a step no longer waits for tickets near its data.
 MAX_RENEWALS_NEAR_DATA = 3
+# Rank by speed that precedes those of all classes.
+FIRST_RANK = -1000
 
 
 def select_gang_workers(
-    stage: Stage, candidates: list[Worker], now: float
+    stage: Stage,
+    candidates: list[Worker],
+    now: float,
+    preference: SpeedPreference | None = None,
 ) -> list[Worker] | None:
     """Returns a worker for each member of a gang, or None if it does not fit.
 
     Workers with a valid ticket come first, then those near the data, then those with
-    the most free cores, so that the gang uses few workers.
+    the most free cores, so that the gang uses few workers. All are of similar speed if
+    possible, and none is untried unless the gang needs it.
 
     Args:
         stage: The gang.
         candidates: Workers that may run it.
         now: Monotonic time in seconds.
+        preference: Classes of workers that the gang prefers by their speed.
     """
     if stage.spec.one_rack:
-        return _select_in_one_rack(stage, candidates, now)
-    return select_gang_workers_anywhere(stage, candidates, now)
+        return _select_in_one_rack(stage, candidates, now, preference)
+    return select_gang_workers_anywhere(stage, candidates, now, preference)
 
 
 def fits_one_idle_rack(stage: Stage, workers: list[Worker]) -> bool:
@@ -47,17 +56,23 @@
 
 
 def _select_in_one_rack(
-    stage: Stage, candidates: list[Worker], now: float
+    stage: Stage,
+    candidates: list[Worker],
+    now: float,
+    preference: SpeedPreference | None,
 ) -> list[Worker] | None:
     for workers in sorted(_by_rack(candidates).values(), key=len):
-        chosen = select_gang_workers_anywhere(stage, workers, now)
+        chosen = select_gang_workers_anywhere(stage, workers, now, preference)
         if chosen:
             return chosen
     return None
 
 
 def select_gang_workers_anywhere(
-    stage: Stage, candidates: list[Worker], now: float
+    stage: Stage,
+    candidates: list[Worker],
+    now: float,
+    preference: SpeedPreference | None = None,
 ) -> list[Worker] | None:
     """Returns workers of any rack for the members of a gang, or None.
 
@@ -65,12 +80,35 @@
         stage: The gang.
         candidates: Workers that may run it.
         now: Monotonic time in seconds.
+        preference: Classes of workers that the gang prefers by their speed.
     """
+    chosen = _select_from_group(stage, candidates, now, preference)
+    if chosen is None:
+        return None
+    tried = [worker for worker in candidates if not worker.speed.newcomer]
+    groups = speed_groups(tried, preference)
+    if len(tried) < len(candidates):
+        groups += speed_groups(candidates, preference)
+    for group in groups[:-1]:
+        better = _select_from_group(stage, group, now, preference)
+        if better:
+            return better
+    return chosen
+
+
+def _select_from_group(
+    stage: Stage,
+    candidates: list[Worker],
+    now: float,
+    preference: SpeedPreference | None,
+) -> list[Worker] | None:
+    rank_by_class = preference.rank_by_class if preference else {}
     ranked = sorted(
         candidates,
         key=lambda worker: (
             stage.advice.valid_ticket(worker.entry.vm, now) is None,
             _is_remote(stage, worker),
+            rank_by_class.get(worker.speed.speed_class, 0),
             -worker.free.cpu,
         ),
     )
@@ -130,13 +168,27 @@
     return max(0, min(fitting, limit) if limit else fitting)
 
 
-def select_worker(stage: Stage, candidates: list[Worker], now: float) -> Worker | None:
+def select_worker(
+    stage: Stage,
+    candidates: list[Worker],
+    now: float,
+    preference: SpeedPreference | None = None,
+) -> Worker | None:
     """Returns the best worker for one task, or None if it fits on none.
 
-    Workers near the data come first, then those with a valid ticket, then the one
-    with the fewest free cores (best fit). Tickets come first once the step has renewed
-    them several times without a start, because others had used the room meanwhile.
+    Workers near the data come first, then those with a valid ticket, then those that
+    suit the step by their speed, then the one with the fewest free cores (best fit).
+    Tickets come first once the step has renewed them several times without a start,
+    because others had used the room meanwhile.
+
+    Args:
+        stage: The step.
+        candidates: Workers that may run it.
+        now: Monotonic time in seconds.
+        preference: Classes of workers that the step prefers by their speed.
     """
+    rank_by_class = preference.rank_by_class if preference else {}
+    tries_newcomers = preference is None or preference.allows_newcomers
 
     def key(worker: Worker) -> tuple:
         remote = _is_remote(stage, worker)
@@ -144,16 +196,24 @@
             needs_advice(stage)
             and stage.advice.valid_ticket(worker.entry.vm, now) is None
         )
+        speed = worker.speed
+        rank = rank_by_class.get(speed.speed_class, 0)
+        if speed.newcomer:
+            is_idle = not worker.run_by_key
+            rank = FIRST_RANK if tries_newcomers and is_idle else rank
         if stage.advice.renewals >= MAX_RENEWALS_NEAR_DATA:
-            return no_ticket, remote, worker.free.cpu
-        return remote, no_ticket, worker.free.cpu
+            return no_ticket, remote, rank, worker.free.cpu
+        return remote, no_ticket, rank, worker.free.cpu
 
     usable = (worker for worker in candidates if _can_take_task(stage, worker))
     return min(usable, key=key, default=None)
 
 
 def select_renewal_workers(
-    stage: Stage, chosen: Worker, candidates: list[Worker]
+    stage: Stage,
+    chosen: Worker,
+    candidates: list[Worker],
+    preference: SpeedPreference | None = None,
 ) -> tuple[VmId, ...]:
     """Returns the workers for which to renew the tickets of a step.
 
@@ -164,13 +224,21 @@
         stage: The step.
         chosen: The chosen worker, which has no valid ticket.
         candidates: Workers that may run the step.
+        preference: Classes of workers that the step prefers by their speed.
     """
+    rank_by_class = preference.rank_by_class if preference else {}
     others = [
         worker
         for worker in candidates
         if worker is not chosen and _can_take_task(stage, worker)
     ]
-    others.sort(key=lambda worker: (_is_remote(stage, worker), -worker.free.cpu))
+    others.sort(
+        key=lambda worker: (
+            _is_remote(stage, worker),
+            rank_by_class.get(worker.speed.speed_class, 0),
+            -worker.free.cpu,
+        )
+    )
     named = [chosen, *others[: MAX_RENEWAL_WORKERS - 1]]
     return tuple(worker.entry.vm for worker in named)
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -185,6 +185,12 @@
     "worker {worker} has restarted as {born}, by the {source}; {runs} runs, token "
     "number {token}, leases on the former one end in {leases:.3f} s",
 )
+WORKER_SPEED_LEARNT = Event(
+    475,
+    Level.INFO,
+    "worker {worker} is in speed class {number}, of typical speed {typical:.2f}: its "
+    "speed is {speed:.2f}, known to {spread:.0%} from {runs} observations",
+)
 STALLED_RUN_MOVED = Event(
     467,
     Level.WARNING,
--- a/tests/cell/test_workers.py
+++ b/tests/cell/test_workers.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S
 from arbutusladder.cell.runs import Run
-from arbutusladder.cell.speed import STALL_TIMEOUT_S
 from arbutusladder.cell.states import EndKind, RunPhase
 from arbutusladder.cell.workers import (
     FAILURES_BEFORE_TRIAL,
