Learn which images slow each other down, and pace fillers beside serving tasks

Some tasks slow each other down on one worker, and fillers lengthen the response times of serving tasks beyond their target. The fifth entry of a row of running tasks is now read. The owner learns effects by pair of images, placement prefers workers where a task is undisturbed, and fillers are paced before a serving task is over its target for harm-ms.

Orders for runs in progress are sent by cell/runorders.py and the settings of a cell are in cell/cellsettings.py, so that owner.py and member.py get shorter.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -18,6 +18,7 @@
     WorkerEntry,
     WorkerReport,
 )
+from arbutusladder.cell.interference.tracker import InterferenceTracker
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.cell.pendingchanges import PendingChanges
 from arbutusladder.cell.performance.tracker import PerformanceTracker
@@ -79,6 +80,7 @@
         advice_demand: Demand of the steps with a call for advice in progress.
         changes: Changes that are not logged or stored yet.
         performance: Learnt speeds of workers and durations of tasks.
+        interference: Learnt effects of tasks on one another, and paces of fillers.
     """
 
     def __init__(
@@ -97,7 +99,8 @@
         self.listed_expiring_vms: set[VmId] = set()
         self.advice_demand = AdviceDemand()
         self.changes = PendingChanges()
-        self.performance = PerformanceTracker(self.record_event)
+        self.interference = InterferenceTracker(self.record_event)
+        self.performance = PerformanceTracker(self.record_event, self.interference)
         self._token_number_by_vm: dict[VmId, int] = {}
         self._report_processor = ReportProcessor(self)
 
@@ -570,13 +573,13 @@
             stage.key,
             index,
             vm,
-            stage.spec.need if not stage.spec.fills else _memory_only(stage),
+            stage.reserved_need,
             phase,
             now,
             from_start=phase is RunPhase.SENT and not stage.resumes(index),
             progressed_at=now,
             observed_at=now,
-            lasting=stage.spec.lasting,
+            spec=stage.spec,
         )
         task = stage.tasks[index]
         task.runs.append(run)
@@ -741,9 +744,3 @@
             job.open_occurrence(name.occurrence)
         key = stage_key(name.job_id, name.occurrence, name.step)
         return self.stage(key), name.index
-
-
-def _memory_only(stage: Stage) -> Resources:
-    """Returns the requirements without cores, for tasks that use only idle cores."""
-    need = stage.spec.need
-    return Resources(0.0, need.memory_mb, need.accelerators)
--- a/arbutusladder/cell/interfaces.py
+++ b/arbutusladder/cell/interfaces.py
@@ -181,12 +181,16 @@
         run: Run number.
         saved: Newest checkpoint; empty without one.
         percent: Completed percentage of its work.
+        figure: Rough figure for the last half second: of a serving task the tail of its
+            response times in milliseconds, of any other one the cores in use in
+            thousandths; None if the worker gives none.
     """
 
     task: str
     run: int
     saved: str
     percent: float
+    figure: float | None = None
 
 
 @dataclass(frozen=True)
@@ -273,6 +277,23 @@
     run: int
 
 
+@dataclass(frozen=True)
+class PaceOrder:
+    """Order to let a run work at a share of its speed.
+
+    Attributes:
+        vm: The worker.
+        task: Name of the task.
+        run: Run number.
+        percent: The share in percent.
+    """
+
+    vm: VmId
+    task: str
+    run: int
+    percent: int
+
+
 @dataclass(frozen=True)
 class AdviceOrder:
     """Request for tickets of the advice service.
@@ -308,6 +329,11 @@
     ) -> OrderAnswer:
         """Stops a run."""
 
+    async def pace(
+        self, worker: WorkerEntry, order: PaceOrder, token: FencingToken
+    ) -> OrderAnswer:
+        """Lets a run work at a share of its speed."""
+
     async def renew(
         self,
         worker: WorkerEntry,
--- /dev/null
+++ b/arbutusladder/cell/interference/__init__.py
@@ -0,0 +1,1 @@
+"""Interference between tasks on one worker: learning, placement and throttling."""
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -18,6 +18,7 @@
     JobAppender,
     OwnerStoreReply,
 )
+from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.claimmanager import ClaimManager
 from arbutusladder.cell.forwardinglog import ForwardingLog
 from arbutusladder.cell.interfaces import (
@@ -30,7 +31,6 @@
     TeamLimits,
     WorkerEntry,
 )
-from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
     PROGRESS_TOPIC,
@@ -94,31 +94,6 @@
 POLL_STEP_S = 0.1
 
 
-@dataclass(frozen=True)
-class CellSettings:
-    """Settings of a cell, from the configuration of the platform.
-
-    Attributes:
-        registry_topic: Topic in which workers register.
-        max_lease_s: Longest lease in seconds that a worker grants.
-        finished_retention_s: Seconds for which the state of a finished job is kept.
-        cancellation_limit_s: Seconds after an acknowledged cancellation from which no
-            task of its job may start.
-        drain_limit_s: Seconds after a worker's entry says that it drains from which no
-            task may start on it.
-        undersized: Whether this entry VM has too few resources to own a large cell.
-        job_limits: Limits of the size of a job.
-    """
-
-    registry_topic: str
-    max_lease_s: float
-    finished_retention_s: float
-    cancellation_limit_s: float = 3.0
-    drain_limit_s: float = 2.0
-    undersized: bool = False
-    job_limits: JobLimits = JobLimits()
-
-
 @dataclass
 class CellDependencies:
     """External services and settings of an entry VM.
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -26,6 +26,7 @@
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
     OrderAnswer,
+    PaceOrder,
     StartOrder,
     StopOrder,
     WriterFenced,
@@ -37,6 +38,7 @@
 from arbutusladder.cell.progresswriter import ProgressBatch, ProgressWriter
 from arbutusladder.cell.pruning import FinishedJobPruner
 from arbutusladder.cell.registry import WorkerRegistry
+from arbutusladder.cell.runorders import RunOrderSender
 from arbutusladder.cell.states import OrderOutcome
 from arbutusladder.cell.workers import longest_lease_s
 from arbutusladder.errors import LogUnavailable
@@ -142,7 +144,9 @@
         self._inherited_vms = recorded_vms
         self.state.max_lease_s = dependencies.settings.max_lease_s
         self.state.job_limits = dependencies.settings.job_limits
+        self.state.interference.harm_s = dependencies.settings.harm_s
         self._placer = Placer(self.state)
+        self._run_orders = RunOrderSender(self.epoch, self.state, dependencies)
         self.evidence = OwnershipEvidence(claim.epoch, dependencies.clock, claimed_at)
         self._is_confirmed = True
         self._claim = claim
@@ -400,7 +404,8 @@
         return max(0.0, newest_s - APPEND_WAKEUPS * self._timer_delay_s)
 
     def _log_load(self) -> None:
-        self.state.performance.report(self._dependencies.metrics)
+        for tracker in (self.state.performance, self.state.interference):
+            tracker.report(self._dependencies.metrics)
         usage = self.advice_dispatcher.take_usage()
         self._dependencies.journal.write(
             events.OWNER_LOAD,
@@ -529,7 +534,7 @@
         if self.may_start_tasks():
             capacity = self.advice_dispatcher.available_capacity(now)
             return self._placer.decide(now, capacity, self._view_age_s())
-        return self._placer.due_stops(now) if self.may_give_orders() else []
+        return self._placer.due_run_orders(now) if self.may_give_orders() else []
 
     def may_start_tasks(self) -> bool:
         """Returns whether the ownership is confirmed and what it knows is recent."""
@@ -612,8 +617,8 @@
         match order:
             case StartOrder():
                 await curio.spawn(self._send_start, order, daemon=True)
-            case StopOrder():
-                await curio.spawn(self._send_stop, order, daemon=True)
+            case StopOrder() | PaceOrder():
+                await curio.spawn(self._send_run_order, order, daemon=True)
             case AdviceOrder():
                 await self.advice_dispatcher.start_call(order, self._on_advice)
 
@@ -668,17 +673,10 @@
         )
         return self.state.resolve_fencing(order.vm, answer, number)
 
-    async def _send_stop(self, order: StopOrder) -> None:
-        worker = self.state.worker_by_vm.get(order.vm)
-        if worker is None or self.ended:
-            return
-        number = worker.token_number
-        token = fencing_token(self.epoch, number)
-        answer = await self._dependencies.orders.stop(worker.entry, order, token)
-        answer = self.state.resolve_fencing(order.vm, answer, number)
-        self._dependencies.metrics.count(f"stops.{answer.outcome.value}")
-        self.state.apply_stop_answer(order, answer, self._clock.now())
-        await self._decisions_needed.set()
+    async def _send_run_order(self, order: StopOrder | PaceOrder) -> None:
+        if not self.ended:
+            await self._run_orders.send(order)
+            await self._decisions_needed.set()
 
     async def _on_advice(self, order: AdviceOrder, reply: AdviceReply) -> None:
         if not reply.answered:
--- a/arbutusladder/cell/performance/tracker.py
+++ b/arbutusladder/cell/performance/tracker.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable, Collection
 
 from arbutusladder import events
+from arbutusladder.cell.interference.observations import overlaps
+from arbutusladder.cell.interference.tracker import InterferenceTracker
 from arbutusladder.cell.performance.classes import (
     ESTABLISHED_SHARE,
     classify,
@@ -37,16 +39,21 @@
 
     Args:
         record_event: Queues an event for the event log.
+        interference: Learnt effects of tasks on one another, by which durations are
+            corrected.
 
     Attributes:
         durations: Learnt durations of tasks.
         speed_by_class: Typical speed of each class of workers.
     """
 
-    def __init__(self, record_event: Callable[..., None]):
+    def __init__(
+        self, record_event: Callable[..., None], interference: InterferenceTracker
+    ):
         self.durations = DurationEstimates()
         self.speed_by_class: dict[int, float] = {0: 1.0}
         self._record_event = record_event
+        self._pairs = interference.pairs
         self._classified_at = -math.inf
         self._established_at: float | None = None
 
@@ -135,7 +142,12 @@
             return
         if worker.speed.is_slow(now):
             return
-        stage.durations.add(worker.speed, duration_s, now)
+        elapsed_s = max(MIN_DURATION_S, now - run.changed_at)
+        others = overlaps(worker, run, elapsed_s, now) if spec.image else {}
+        log_size = math.log(duration_s) + worker.speed.log_mean
+        stage.slowdowns.add(log_size, others)
+        undisturbed_s = duration_s / math.exp(self._pairs.expected(spec.image, others))
+        stage.durations.add(worker.speed, undisturbed_s, now)
         open_runs = any(not run.measured for run in stage.active_runs)
         is_due = now - stage.durations.pending_since >= COLLECTION_S
         if is_due or not (open_runs or stage.waiting_tasks()):
@@ -145,9 +157,8 @@
         queue, image = stage.job.record.queue.name, stage.spec.image
         estimate_s = stage.spec.estimate_s
         weight = stage.durations.pending / len(stage.tasks)
-        duration_s = stage.durations.compare(
-            self.durations.expected_s(queue, image, estimate_s),
-            self.durations.spread(queue, image),
-            now,
-        )
+        expected_s = self.durations.expected_s(queue, image, estimate_s)
+        spread = self.durations.spread(queue, image)
+        stage.slowdowns.compare(image, self._pairs, expected_s, spread, now)
+        duration_s = stage.durations.compare(expected_s, spread, now)
         self.durations.learn(queue, image, estimate_s, duration_s, weight)
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -10,7 +10,7 @@
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceCapacity, select_advice_workers
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
+from arbutusladder.cell.interfaces import AdviceOrder, PaceOrder, StartOrder, StopOrder
 from arbutusladder.cell.performance.preference import (
     SpeedPreference,
     speed_preference,
@@ -49,7 +49,7 @@
 # Seconds after which an unanswered stop order is sent again.
 STOP_RETRY_S = 0.5
 
-Order = StartOrder | StopOrder | AdviceOrder
+Order = StartOrder | StopOrder | PaceOrder | AdviceOrder
 
 
 @dataclass
@@ -140,7 +140,7 @@
         Returns:
             The orders: stops first, then the others by the priority of their steps.
         """
-        orders: list[Order] = list(self.due_stops(now))
+        orders = self.due_run_orders(now)
         workers = [
             worker
             for worker in self._cell.worker_by_vm.values()
@@ -199,6 +199,16 @@
                     found.append(stage)
         return sorted(found, key=lambda stage: priority_key(stage, now))
 
+    def due_run_orders(self, now: float) -> list[Order]:
+        """Returns the orders for runs in progress: stops, then paces.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        worker_by_vm = self._cell.worker_by_vm
+        paces = self._cell.interference.due_paces(worker_by_vm, now)
+        return [*self.due_stops(now), *paces]
+
     def due_stops(self, now: float) -> list[StopOrder]:
         """Returns the stop orders to send now.
 
@@ -251,10 +261,11 @@
         orders: list[Order] = []
         needs_ticket = False
         preference = self._speed_preference(stage, now)
+        disturbance = self._cell.interference.disturbance(stage)
         for index in stage.waiting_tasks():
             if need.cpu > this_round.available_cpu(stage):
                 break
-            worker = select_worker(stage, candidates, now, preference)
+            worker = select_worker(stage, candidates, now, preference, disturbance)
             if worker is None:
                 break
             ticket = stage.advice.valid_ticket(worker.entry.vm, now)
@@ -275,9 +286,12 @@
     ) -> list[Order]:
         now = this_round.now
         preference = self._speed_preference(stage, now)
-        chosen = select_gang_workers(stage, candidates, now, preference)
+        disturbance = self._cell.interference.disturbance(stage)
+        chosen = select_gang_workers(stage, candidates, now, preference, disturbance)
         if chosen is None and self._may_leave_rack(stage, this_round):
-            chosen = select_gang_workers_anywhere(stage, candidates, now, preference)
+            chosen = select_gang_workers_anywhere(
+                stage, candidates, now, preference, disturbance
+            )
         need_cpu = stage.spec.need.cpu * len(stage.tasks)
         if chosen is None or need_cpu > this_round.available_cpu(stage):
             self._reserve_for_gang(stage, this_round)
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -125,6 +125,7 @@
             expected_s = stage.expected_duration_s(now)
             worker.record_progress(run, row.percent, expected_s, now)
             self._cell.performance.record_progress(worker, run, stage, now)
+            self._cell.interference.record_running(worker, run, row.figure, now)
             worker.record_running(run, stage.spec.lasting, now)
             if run.proven:
                 stage.failed_vms.clear()
@@ -173,6 +174,8 @@
             run = self._cell.create_run(
                 stage, index, row.run, worker.entry.vm, RunPhase.RUNNING, now
             )
+            # A predecessor may have changed it.
+            run.pace = None
             if len(others) > 1 and not stage.spec.speculative:
                 run.stop_wanted = True
             return run
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -1,10 +1,11 @@
 """Runs of tasks on workers, as the owner knows them."""
 
+import math
 from dataclasses import dataclass
 
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId, VmId
-from arbutusladder.messages import Resources
+from arbutusladder.messages import Resources, StepSpec
 
 RunKey = tuple[str, int]
 
@@ -41,7 +42,11 @@
             this owner sent none.
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
-        lasting: Whether it runs until its job is cancelled.
+        spec: Step of the task; None if the task is not in the owner's state.
+        pace: Share in percent at which it works; None if it is not known.
+        pace_sent_at: Monotonic time in seconds of the last order for a pace.
+        tail_learnt_at: Monotonic time in seconds at which its tail of response times
+            was last used to learn what disturbs it.
         measured: Whether its duration was used to learn the speed of its worker.
     """
 
@@ -67,9 +72,17 @@
     ordered_at: float | None = None
     ordered_born: int = 0
     token_number: int = -1
-    lasting: bool = False
+    spec: StepSpec | None = None
+    pace: int | None = 100
+    pace_sent_at: float = -math.inf
+    tail_learnt_at: float = -math.inf
     measured: bool = False
 
+    @property
+    def lasting(self) -> bool:
+        """Whether it runs until its job is cancelled."""
+        return self.spec is not None and self.spec.lasting
+
     @property
     def key(self) -> RunKey:
         """Task name and run number, which identify the run."""
--- a/arbutusladder/cell/simulation.py
+++ b/arbutusladder/cell/simulation.py
@@ -17,13 +17,14 @@
     AdviceOrder,
     EndedTask,
     OrderAnswer,
+    PaceOrder,
     RunningTask,
     StartOrder,
     StopOrder,
     WorkerEntry,
     WorkerReport,
 )
-from arbutusladder.cell.placement import Placer
+from arbutusladder.cell.placement import Order, Placer
 from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome
 from arbutusladder.ids import JobId, RequestId, VmId
 from arbutusladder.messages import (
@@ -41,6 +42,8 @@
 # Seconds between two rounds of decisions.
 TIME_STEP_S = 0.01
 
+# Returns the rough figure that a worker reports with a run; None for none.
+FigureFunction = Callable[["SimulatedWorker", str], float | None]
 DurationFunction = Callable[[str, VmId], float]
 EndKindFunction = Callable[[str, VmId], EndKind]
 
@@ -53,6 +56,7 @@
     started_at: float
     ends_at: float
     gang: tuple[str, int] | None = None
+    pace: int = 100
 
     def percent(self, now: float) -> float:
         """Returns the completed percentage of the work."""
@@ -71,6 +75,7 @@
         overload_count: Number of starts that exceeded its capacity.
         responsive: Whether it answers.
         stalled_until: Time in seconds until which its tasks make no progress.
+        figure: Returns the rough figure to report with a task.
     """
 
     entry: WorkerEntry
@@ -79,6 +84,7 @@
     overload_count: int = 0
     responsive: bool = True
     stalled_until: float = 0.0
+    figure: FigureFunction = lambda worker, task: None
     _end_numbers: itertools.count = field(default_factory=lambda: itertools.count(1))
 
     def start(
@@ -123,7 +129,13 @@
     def report(self, now: float) -> WorkerReport:
         """Returns its answer to a lease renewal."""
         running = [
-            RunningTask(run.task, run.run, "", max(0.0, run.percent(now)))
+            RunningTask(
+                run.task,
+                run.run,
+                "",
+                max(0.0, run.percent(now)),
+                self.figure(self, run.task),
+            )
             for run in self.running.values()
         ]
         return WorkerReport(self.entry.born, now, running, list(self.ended))
@@ -138,6 +150,7 @@
         end_kind: Returns how a run of a task on a worker ends.
         is_permitted: Returns whether the advice service permits a step on a worker.
         callers: Number of concurrent calls to the advice service.
+        figure: Returns the rough figure that a worker reports with a task.
     """
 
     def __init__(
@@ -147,16 +160,18 @@
         end_kind: EndKindFunction = lambda task, vm: EndKind.DONE,
         is_permitted: Callable[[str, VmId], bool] = lambda stage, vm: True,
         callers: int = 8,
+        figure: FigureFunction = lambda worker, task: None,
     ):
         self.now = 1000.0
         self.state = CellState(0.0, lambda task: None)
         self.placer = Placer(self.state)
-        self.worker_by_vm = {e.vm: SimulatedWorker(e) for e in workers}
+        self.worker_by_vm = {e.vm: SimulatedWorker(e, figure=figure) for e in workers}
         self.state.update_registry({e.vm: e for e in workers}, self.now)
         self.ended_at_by_job: dict[JobId, float] = {}
         self.phase_by_job: dict[JobId, JobPhase] = {}
         self.submitted_at_by_job: dict[JobId, float] = {}
         self.started: list[StartOrder] = []
+        self.paced: list[tuple[float, PaceOrder]] = []
         self._duration = duration
         self._end_kind = end_kind
         self._is_permitted = is_permitted
@@ -229,13 +244,16 @@
     def _schedule_after(self, delay: float, action: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self.now + delay, next(self._sequence), action))
 
-    def _execute(self, order: StartOrder | StopOrder | AdviceOrder) -> None:
+    def _execute(self, order: Order) -> None:
         match order:
             case StartOrder():
                 self.started.append(order)
                 self._schedule_after(ONE_WAY_S, lambda: self._start(order))
             case StopOrder():
                 self._schedule_after(ONE_WAY_S, lambda: self._stop(order))
+            case PaceOrder():
+                self.paced.append((self.now, order))
+                self._schedule_after(ONE_WAY_S, lambda: self._pace(order))
             case AdviceOrder():
                 self._begin_advice(order)
 
@@ -266,6 +284,13 @@
         self.state.apply_stop_answer(order, answer, self.now)
         self._schedule_after(ONE_WAY_S, lambda: self._report(order.vm))
 
+    def _pace(self, order: PaceOrder) -> None:
+        run = self.worker_by_vm[order.vm].running.get((order.task, order.run))
+        if run:
+            run.pace = order.percent
+        outcome = OrderOutcome.ACCEPTED if run else OrderOutcome.MALFORMED
+        self.state.interference.apply_answer(order, OrderAnswer(outcome, self.now))
+
     def _end(self, vm: VmId, key: tuple[str, int]) -> None:
         """Ends a run, or reschedules its end if a stall has delayed it.
 
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from arbutusladder.cell.interference.observations import StepSlowdowns
 from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.performance.stepruns import StepDurations
 from arbutusladder.cell.runs import Run
@@ -14,6 +15,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     FailedRun,
+    Resources,
     StageProgress,
     StepSpec,
 )
@@ -127,6 +129,7 @@
         wait_s_by_cause: Seconds waited since the last start of the step, by cause.
         failed_vms: Workers on which runs of a step that lasts have failed since one of
             them counted as a success.
+        slowdowns: Runs that show which images slow each other down.
         durations: Durations of its runs, which show the speeds of their workers.
     """
 
@@ -142,6 +145,7 @@
     restart_wait_s: float = 0.0
     wait_s_by_cause: dict[WaitCause, float] = field(default_factory=dict)
     failed_vms: set[VmId] = field(default_factory=set)
+    slowdowns: StepSlowdowns = field(default_factory=StepSlowdowns)
     durations: StepDurations = field(default_factory=StepDurations)
     _expected_s: float = 0.0
     _expected_at: float = -math.inf
@@ -151,6 +155,14 @@
         """Whether all tasks are done."""
         return all(task.done for task in self.tasks)
 
+    @property
+    def reserved_need(self) -> Resources:
+        """Resources that a run reserves; filler tasks use only idle cores."""
+        need = self.spec.need
+        if not self.spec.fills:
+            return need
+        return Resources(0.0, need.memory_mb, need.accelerators)
+
     @property
     def is_failing(self) -> bool:
         """Whether its runs fail wherever they run, which is not a worker's fault.
--- a/arbutusladder/cell/workerselection.py
+++ b/arbutusladder/cell/workerselection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from arbutusladder.cell.interference.tracker import Disturbance
 from arbutusladder.cell.performance.groups import speed_groups
 from arbutusladder.cell.performance.preference import SpeedPreference
 from arbutusladder.cell.stages import Stage
@@ -23,6 +24,7 @@
     candidates: list[Worker],
     now: float,
     preference: SpeedPreference | None = None,
+    disturbance: Disturbance | None = None,
 ) -> list[Worker] | None:
     """Returns a worker for each member of a gang, or None if it does not fit.
 
@@ -35,10 +37,11 @@
         candidates: Workers that may run it.
         now: Monotonic time in seconds.
         preference: Classes of workers that the gang prefers by their speed.
+        disturbance: Tasks beside which it should not run.
     """
     if stage.spec.one_rack:
-        return _select_in_one_rack(stage, candidates, now, preference)
-    return select_gang_workers_anywhere(stage, candidates, now, preference)
+        return _select_in_one_rack(stage, candidates, now, preference, disturbance)
+    return select_gang_workers_anywhere(stage, candidates, now, preference, disturbance)
 
 
 def fits_one_idle_rack(stage: Stage, workers: list[Worker]) -> bool:
@@ -60,9 +63,12 @@
     candidates: list[Worker],
     now: float,
     preference: SpeedPreference | None,
+    disturbance: Disturbance | None,
 ) -> list[Worker] | None:
     for workers in sorted(_by_rack(candidates).values(), key=len):
-        chosen = select_gang_workers_anywhere(stage, workers, now, preference)
+        chosen = select_gang_workers_anywhere(
+            stage, workers, now, preference, disturbance
+        )
         if chosen:
             return chosen
     return None
@@ -73,6 +79,7 @@
     candidates: list[Worker],
     now: float,
     preference: SpeedPreference | None = None,
+    disturbance: Disturbance | None = None,
 ) -> list[Worker] | None:
     """Returns workers of any rack for the members of a gang, or None.
 
@@ -81,8 +88,9 @@
         candidates: Workers that may run it.
         now: Monotonic time in seconds.
         preference: Classes of workers that the gang prefers by their speed.
+        disturbance: Tasks beside which it should not run.
     """
-    chosen = _select_from_group(stage, candidates, now, preference)
+    chosen = _select_from_group(stage, candidates, now, preference, disturbance)
     if chosen is None:
         return None
     tried = [worker for worker in candidates if not worker.speed.newcomer]
@@ -90,7 +98,7 @@
     if len(tried) < len(candidates):
         groups += speed_groups(candidates, preference)
     for group in groups[:-1]:
-        better = _select_from_group(stage, group, now, preference)
+        better = _select_from_group(stage, group, now, preference, disturbance)
         if better:
             return better
     return chosen
@@ -101,6 +109,7 @@
     candidates: list[Worker],
     now: float,
     preference: SpeedPreference | None,
+    disturbance: Disturbance | None,
 ) -> list[Worker] | None:
     rank_by_class = preference.rank_by_class if preference else {}
     ranked = sorted(
@@ -109,6 +118,7 @@
             stage.advice.valid_ticket(worker.entry.vm, now) is None,
             _is_remote(stage, worker),
             rank_by_class.get(worker.speed.speed_class, 0),
+            disturbance.level(worker) if disturbance else 0,
             -worker.free.cpu,
         ),
     )
@@ -173,11 +183,13 @@
     candidates: list[Worker],
     now: float,
     preference: SpeedPreference | None = None,
+    disturbance: Disturbance | None = None,
 ) -> Worker | None:
     """Returns the best worker for one task, or None if it fits on none.
 
     Workers near the data come first, then those with a valid ticket, then those that
-    suit the step by their speed, then the one with the fewest free cores (best fit).
+    suit the step by their speed, then those whose tasks do not disturb it, then the one
+    with the fewest free cores (best fit).
     Tickets come first once the step has renewed them several times without a start,
     because others had used the room meanwhile.
 
@@ -186,6 +198,7 @@
         candidates: Workers that may run it.
         now: Monotonic time in seconds.
         preference: Classes of workers that the step prefers by their speed.
+        disturbance: Tasks beside which its tasks should not run.
     """
     rank_by_class = preference.rank_by_class if preference else {}
     tries_newcomers = preference is None or preference.allows_newcomers
@@ -201,9 +214,10 @@
         if speed.newcomer:
             is_idle = not worker.run_by_key
             rank = FIRST_RANK if tries_newcomers and is_idle else rank
+        level = disturbance.level(worker) if disturbance else 0
         if stage.advice.renewals >= MAX_RENEWALS_NEAR_DATA:
-            return no_ticket, remote, rank, worker.free.cpu
-        return remote, no_ticket, rank, worker.free.cpu
+            return no_ticket, remote, rank, level, worker.free.cpu
+        return remote, no_ticket, rank, level, worker.free.cpu
 
     usable = (worker for worker in candidates if _can_take_task(stage, worker))
     return min(usable, key=key, default=None)
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -191,6 +191,18 @@
     "worker {worker} is in speed class {number}, of typical speed {typical:.2f}: its "
     "speed is {speed:.2f}, known to {spread:.0%} from {runs} observations",
 )
+INTERFERENCE_LEARNT = Event(
+    476,
+    Level.INFO,
+    "tasks of image {image} take {slowdown:.2f} times as long beside those of image "
+    "{other}, known to {spread:.0%}: level {level}",
+)
+FILLERS_PACED = Event(
+    477,
+    Level.INFO,
+    "{fillers} filler tasks on worker {worker} work at {percent} %: the tail of a "
+    "serving task is at {ratio:.2f} of its target",
+)
 STALLED_RUN_MOVED = Event(
     467,
     Level.WARNING,
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -20,9 +20,10 @@
 
 from arbutusladder import events
 from arbutusladder.backgroundtasks import spawn_logged
+from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.interfaces import KeyedRecord, OffsetDeleted
 from arbutusladder.cell.joblimits import JobLimits
-from arbutusladder.cell.member import CellDependencies, CellSettings, Member
+from arbutusladder.cell.member import CellDependencies, Member
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.httpclient import HttpResponse
@@ -103,6 +104,7 @@
                 settings.drain_limit_s,
                 settings.undersized,
                 JobLimits(settings.record_bytes),
+                settings.harm_s,
             ),
         )
         self._member = Member(VmId(settings.vm), settings.peer, dependencies)
--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -44,11 +44,14 @@
     between SIGTERM and SIGKILL, ``status_s`` the required retention of job states and
     ``cancel_ms`` the time after an acknowledged cancellation from which no task of the
     job may start, ``drain-ms`` the same for a worker whose entry says that it drains.
+    ``harm-ms`` is the time for which filler tasks may keep a serving task over its
+    target.
     """
 
     max_hold_ms: Duration = 6000.0
     grace_s: Duration = 6.0
     drain_ms: Duration = 2000.0
+    harm_ms: Duration = 4000.0
     status_s: Duration = msgspec.field(default=120.0, name="status_s")
     cancel_ms: Duration = msgspec.field(default=3000.0, name="cancel_ms")
 
@@ -99,6 +102,7 @@
             task of its job may start.
         drain_limit_s: Seconds after a worker's entry says that it drains from which no
             task may start on it.
+        harm_s: Seconds for which filler tasks may keep a serving task over its target.
         record_bytes: Largest record in bytes that the log accepts.
         undersized: Whether this entry VM has too little CPU or bandwidth to own a
             large cell.
@@ -115,6 +119,7 @@
     finished_retention_s: float
     cancellation_limit_s: float
     drain_limit_s: float
+    harm_s: float
     record_bytes: int
     undersized: bool
 
@@ -150,6 +155,7 @@
         finished_retention_s=raw.bounds.status_s * STATUS_RETENTION_FACTOR,
         cancellation_limit_s=raw.bounds.cancel_ms / 1000,
         drain_limit_s=raw.bounds.drain_ms / 1000,
+        harm_s=raw.bounds.harm_ms / 1000,
         record_bytes=raw.platform.record_bytes,
         undersized=_is_undersized(raw.limits),
     )
--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -14,6 +14,7 @@
     EndedTask,
     KeyedRecord,
     OrderAnswer,
+    PaceOrder,
     RunningTask,
     StartOrder,
     StopOrder,
@@ -41,6 +42,8 @@
 JSON_HEADER = Header("Content-Type", "application/json")
 # Id of an executor, which becomes part of a header.
 ID_PATTERN = re.compile(r"[!-~]{1,64}")
+# Index of the rough figure in a row of a running task; not all executors give it.
+FIGURE_INDEX = 4
 # Topic of the platform's log in which executors register.
 REGISTRY_TOPIC = "keyed.servers"
 
@@ -94,8 +97,8 @@
     """Response of an executor.
 
     ``clock-ms`` is its own monotonic clock, ``running`` has rows of task, run, saved
-    point and percent, and ``ended`` rows of number, task, run, kind of end and saved
-    point.
+    point, percent and rough figure, and ``ended`` rows of number, task, run, kind of
+    end and saved point.
     """
 
     clock_ms: Duration | None = None
@@ -179,6 +182,18 @@
         body = {"task": order.task, "run": order.run, "fence": token}
         return await self._send_order(worker, "/v1/run-stop", body)
 
+    async def pace(
+        self, worker: WorkerEntry, order: PaceOrder, token: FencingToken
+    ) -> OrderAnswer:
+        """See `arbutusladder.cell.interfaces.OrderSender.pace`."""
+        body = {
+            "task": order.task,
+            "run": order.run,
+            "percent": order.percent,
+            "fence": token,
+        }
+        return await self._send_order(worker, "/v1/pace", body)
+
     async def renew(
         self,
         worker: WorkerEntry,
@@ -203,7 +218,8 @@
             return _order_answer(status, reply)
         try:
             running = [
-                RunningTask(*_convert_row(row, _RunningRow)) for row in reply.running
+                RunningTask(*_convert_row(row, _RunningRow), _figure(row))
+                for row in reply.running
             ]
             ended = [_ended_task(*_convert_row(row, _EndedRow)) for row in reply.ended]
         except msgspec.ValidationError:
@@ -253,6 +269,17 @@
     return msgspec.convert(row[:size], type=row_type)
 
 
+def _figure(row: list) -> float | None:
+    """Returns the rough figure of a run, or None without a valid one.
+
+    It is only advisory, so that an invalid one does not make the report malformed.
+    """
+    try:
+        return msgspec.convert(row[FIGURE_INDEX], type=Factor)
+    except (IndexError, msgspec.ValidationError):
+        return None
+
+
 def _ended_task(
     number: int, task: str, run: int, end_kind: str, saved: str
 ) -> EndedTask:
--- a/tests/cell/exploreworkers.py
+++ b/tests/cell/exploreworkers.py
@@ -176,6 +176,11 @@
         self._ended_runs[task] = max(number, self._ended_runs.get(task, 0))
         return self._answer(OrderOutcome.ACCEPTED)
 
+    async def pace(self, order, token, sender):
+        """Accepts any pace."""
+        fenced = self._is_fenced(token, sender)
+        return self._answer(OrderOutcome.FENCED if fenced else OrderOutcome.ACCEPTED)
+
     async def renew(self, token, acknowledged, until, wait, sender):
         """Extends the lease and reports the runs, at the latest after a wait."""
         if self._is_fenced(token, sender):
@@ -258,6 +263,11 @@
         args = (target.stop, order, token)
         return await self._send(target, ORDER_TIMEOUT_S, args)
 
+    async def pace(self, worker, order, token):
+        """See `OrderSender.pace`."""
+        target = self._worker_by_vm[worker.vm]
+        return await self._send(target, ORDER_TIMEOUT_S, (target.pace, order, token))
+
     async def renew(self, worker, token, acknowledged, until, wait):
         """See `OrderSender.renew`."""
         target = self._worker_by_vm[worker.vm]
--- a/tests/cell/inprocess.py
+++ b/tests/cell/inprocess.py
@@ -6,13 +6,14 @@
 
 import curio
 
+from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.interfaces import (
     EndedTask,
     OrderAnswer,
     RunningTask,
     WorkerReport,
 )
-from arbutusladder.cell.member import CellDependencies, CellSettings, Member
+from arbutusladder.cell.member import CellDependencies, Member
 from arbutusladder.cell.states import EndKind, OrderOutcome
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
@@ -170,6 +171,10 @@
         self._end(worker.vm, (order.task, order.run), EndKind.STOPPED)
         return OrderAnswer(OrderOutcome.ACCEPTED, self._clock.now())
 
+    async def pace(self, worker, order, token):
+        """See `OrderSender.pace`."""
+        return OrderAnswer(OrderOutcome.ACCEPTED, self._clock.now())
+
     async def renew(self, worker, token, acknowledged, until, wait):
         """See `OrderSender.renew`."""
         vm = worker.vm
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -292,6 +292,8 @@
                 return await self._start(body)
             case "/v1/run-stop":
                 return self._stop(body)
+            case "/v1/pace":
+                return json_answer(200, {"clock-ms": self.clock_ms()})
             case "/v1/hold":
                 return await self._renew_lease(body)
         return json_answer(404)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -41,6 +41,19 @@
     return curio.run(main)
 
 
+class TestRoughFigure:
+    """The fifth entry of a row is advisory."""
+
+    @pytest.mark.parametrize(
+        ("rest", "figure"),
+        [([], None), ([180], 180.0), (["x"], None), ([-1], None), ([7, 8], 7.0)],
+    )
+    def test_row_counts_whatever_its_figure_is(self, rest, figure):
+        """Guards against a lost report because of a missing or invalid figure."""
+        answer = renew({"clock-ms": 5000, "running": [[TASK, 1, "", 5, *rest]]})
+        assert [row.figure for row in answer.running] == [figure]
+
+
 class TestMalformedReport:
     """Pattern: a report has rows that the published protocol does not describe."""
 
