--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -18,8 +18,10 @@
     WorkerEntry,
     WorkerReport,
 )
+from arbutusladder.cell.interference.tracker import InterferenceTracker
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.cell.pendingchanges import PendingChanges
+from arbutusladder.cell.performance.tracker import PerformanceTracker
 from arbutusladder.cell.reports import ReportProcessor
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage, stage_key
@@ -80,6 +82,8 @@
         advice_demand: Demand of the steps with a call for advice in progress.
         team_ledger: Charges of the teams for what they may have running.
         changes: Changes that are not logged or stored yet.
+        performance: Learnt speeds of workers and durations of tasks.
+        interference: Learnt effects of tasks on one another, and paces of fillers.
     """
 
     def __init__(
@@ -103,6 +107,8 @@
         self.advice_demand = AdviceDemand()
         self.team_ledger = TeamLedger()
         self.changes = PendingChanges()
+        self.interference = InterferenceTracker(self.record_event)
+        self.performance = PerformanceTracker(self.record_event, self.interference)
         self._token_number_by_vm: dict[VmId, int] = {}
         self._report_processor = ReportProcessor(self)
 
@@ -566,10 +572,10 @@
             stage.reserved_need,
             phase,
             now,
-            from_start=phase is RunPhase.SENT,
+            from_start=phase is RunPhase.SENT and not stage.resumes(index),
             progressed_at=now,
             observed_at=now,
-            lasting=stage.spec.lasting,
+            spec=stage.spec,
             team=stage.job.team,
             charge=stage.spec.need,
         )
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -13,8 +13,12 @@
     nonurgent_cpu_by_service,
     service_of,
 )
-from arbutusladder.cell.interfaces import AdviceOrder, StartOrder, StopOrder
+from arbutusladder.cell.interfaces import AdviceOrder, PaceOrder, StartOrder, StopOrder
 from arbutusladder.cell.overdue import OverdueSteps
+from arbutusladder.cell.performance.preference import (
+    SpeedPreference,
+    speed_preference,
+)
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stageorder import StageOrder
 from arbutusladder.cell.stages import Stage
@@ -50,7 +54,7 @@
 # Seconds after which an unanswered stop order is sent again.
 STOP_RETRY_S = 0.5
 
-Order = StartOrder | StopOrder | AdviceOrder
+Order = StartOrder | StopOrder | PaceOrder | AdviceOrder
 
 
 class Placer:
@@ -89,12 +93,13 @@
         Returns:
             The orders: stops first, then the others by the priority of their steps.
         """
-        orders: list[Order] = list(self.due_stops(now))
+        orders = self.due_run_orders(now)
         workers = [
             worker
             for worker in self._cell.worker_by_vm.values()
             if self._cell.accepts_tasks(worker, now)
         ]
+        self._cell.performance.update_classes(self._cell.worker_by_vm.values(), now)
         total = sum(worker.entry.capacity.cpu for worker in workers)
         free = sum(worker.free.cpu for worker in workers)
         self._charge_inherited_jobs()
@@ -172,6 +177,16 @@
         overdue = self._overdue.select(waiting, ledger, total.cpu, now)
         return StageOrder(waiting, now, FairShares(ledger, total, waiting), overdue)
 
+    def due_run_orders(self, now: float) -> list[Order]:
+        """Returns the orders for runs in progress: stops, then paces.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        worker_by_vm = self._cell.worker_by_vm
+        paces = self._cell.interference.due_paces(worker_by_vm, now)
+        return [*self.due_stops(now), *paces]
+
     def due_stops(self, now: float) -> list[StopOrder]:
         """Returns the stop orders to send now.
 
@@ -232,12 +247,14 @@
         now, need = this_round.now, stage.spec.need
         orders: list[Order] = []
         needs_ticket = False
+        preference = self._speed_preference(stage, now)
+        disturbance = self._cell.interference.disturbance(stage)
         for index in stage.waiting_tasks():
             if need.cpu > this_round.available_cpu(stage):
                 break
             if orders and self._is_capped(stage, this_round):
                 break
-            worker = select_worker(stage, candidates, now)
+            worker = select_worker(stage, candidates, now, preference, disturbance)
             if worker is None:
                 break
             ticket = stage.advice.valid_ticket(worker.entry.vm, now)
@@ -249,7 +266,7 @@
             if this_round.order.is_overtaken(stage):
                 break
         if needs_ticket:
-            vms = select_renewal_workers(stage, worker, candidates)
+            vms = select_renewal_workers(stage, worker, candidates, preference)
             renewal = self._request_advice(stage, vms, this_round)
             stage.advice.renewals += len(renewal)
             orders += renewal
@@ -259,9 +276,13 @@
         self, stage: Stage, candidates: list[Worker], this_round: DecisionRound
     ) -> list[Order]:
         now = this_round.now
-        chosen = select_gang_workers(stage, candidates, now)
+        preference = self._speed_preference(stage, now)
+        disturbance = self._cell.interference.disturbance(stage)
+        chosen = select_gang_workers(stage, candidates, now, preference, disturbance)
         if chosen is None and self._may_leave_rack(stage, this_round):
-            chosen = select_gang_workers_anywhere(stage, candidates, now)
+            chosen = select_gang_workers_anywhere(
+                stage, candidates, now, preference, disturbance
+            )
         need_cpu = stage.spec.need.cpu * len(stage.tasks)
         if chosen is None or need_cpu > this_round.available_cpu(stage):
             self._reserve_for_gang(stage, this_round)
@@ -285,6 +306,10 @@
         self._cell.team_ledger.charge_plan(stage)
         return orders
 
+    def _speed_preference(self, stage: Stage, now: float) -> SpeedPreference | None:
+        speed_by_class = self._cell.performance.speed_by_class
+        return speed_preference(stage, speed_by_class, now)
+
     def _may_leave_rack(self, stage: Stage, this_round: DecisionRound) -> bool:
         """Returns whether a gang that prefers one rack may use several.
 
@@ -394,7 +419,8 @@
             and fits(stage.spec.need, self._resources_to_match(stage, worker))
         ]
         demand = self._cell.advice_demand
-        vms = select_advice_workers(stage, unasked, demand)
+        preference = self._speed_preference(stage, this_round.now)
+        vms = select_advice_workers(stage, unasked, demand, preference)
         orders = self._request_advice(stage, vms, this_round) if vms else []
         if orders:
             demand.begin_call(stage, vms)
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -1,10 +1,11 @@
 """Runs of tasks on workers, as the owner knows them."""
 
+import math
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId, TeamName, VmId
-from arbutusladder.messages import Resources
+from arbutusladder.messages import Resources, StepSpec
 
 RunKey = tuple[str, int]
 
@@ -23,7 +24,8 @@
         need: Resources reserved on the worker until the run has ended.
         phase: State of the run as known to the owner.
         changed_at: Monotonic time in seconds of the last change of the phase.
-        from_start: Whether this owner observed the run from its start.
+        from_start: Whether this owner observed the task's work from its start, which
+            does not resume from a checkpoint.
         percent: Completed percentage of its work.
         progressed_at: Monotonic time in seconds at which the percentage last rose.
         observed_at: Monotonic time in seconds of the last observed percentage.
@@ -40,9 +42,14 @@
             this owner sent none.
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
-        lasting: Whether it runs until its job is cancelled.
         team: Team of its job; empty if it has none or is not known.
         charge: Resources charged to the team until the run has ended.
+        spec: Step of the task; None if the task is not in the owner's state.
+        pace: Share in percent at which it works; None if it is not known.
+        pace_sent_at: Monotonic time in seconds of the last order for a pace.
+        tail_learnt_at: Monotonic time in seconds at which its tail of response times
+            was last used to learn what disturbs it.
+        measured: Whether its duration was used to learn the speed of its worker.
     """
 
     task: str
@@ -67,9 +74,18 @@
     ordered_at: float | None = None
     ordered_born: int = 0
     token_number: int = -1
-    lasting: bool = False
     team: TeamName = ""
     charge: Resources = field(default_factory=Resources)
+    spec: StepSpec | None = None
+    pace: int | None = 100
+    pace_sent_at: float = -math.inf
+    tail_learnt_at: float = -math.inf
+    measured: bool = False
+
+    @property
+    def lasting(self) -> bool:
+        """Whether it runs until its job is cancelled."""
+        return self.spec is not None and self.spec.lasting
 
     @property
     def key(self) -> RunKey:
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -185,6 +185,24 @@
     "worker {worker} has restarted as {born}, by the {source}; {runs} runs, token "
     "number {token}, leases on the former one end in {leases:.3f} s",
 )
+WORKER_SPEED_LEARNT = Event(
+    477,
+    Level.INFO,
+    "worker {worker} is in speed class {number}, of typical speed {typical:.2f}: its "
+    "speed is {speed:.2f}, known to {spread:.0%} from {runs} observations",
+)
+INTERFERENCE_LEARNT = Event(
+    478,
+    Level.INFO,
+    "tasks of image {image} take {slowdown:.2f} times as long beside those of image "
+    "{other}, known to {spread:.0%}: level {level}",
+)
+FILLERS_PACED = Event(
+    479,
+    Level.INFO,
+    "{fillers} filler tasks on worker {worker} work at {percent} %: the tail of a "
+    "serving task is at {ratio:.2f} of its target",
+)
 STALLED_RUN_MOVED = Event(
     467,
     Level.WARNING,
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -20,8 +20,9 @@
 from arbutusladder import events
 from arbutusladder.access.configview import ConfigView
 from arbutusladder.backgroundtasks import spawn_logged
+from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.joblimits import JobLimits
-from arbutusladder.cell.member import CellDependencies, CellSettings, Member
+from arbutusladder.cell.member import CellDependencies, Member
 from arbutusladder.clock import Clock
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httppool import HttpConnectionPool
@@ -93,6 +94,7 @@
                 settings.drain_limit_s,
                 settings.undersized,
                 JobLimits(settings.record_bytes),
+                settings.harm_s,
             ),
             teams=lambda: self._view.team_limits(self._clock.now_with_suspensions()),
             config_version=lambda: self._view.version,
--- a/arbutusladder/platform/settings.py
+++ b/arbutusladder/platform/settings.py
@@ -46,11 +46,14 @@
     job may start, ``drain-ms`` the same for a worker whose entry says that it drains.
     ``config-apply-ms`` is the time after an acknowledged change of the configuration
     within which it has to be in force.
+    ``harm-ms`` is the time for which filler tasks may keep a serving task over its
+    target.
     """
 
     max_hold_ms: Duration = 6000.0
     grace_s: Duration = 6.0
     drain_ms: Duration = 2000.0
+    harm_ms: Duration = 4000.0
     status_s: Duration = msgspec.field(default=120.0, name="status_s")
     cancel_ms: Duration = msgspec.field(default=3000.0, name="cancel_ms")
     config_apply_ms: Duration = 2000.0
@@ -104,6 +107,7 @@
             task may start on it.
         config_apply_s: Seconds after an acknowledged change of the configuration
             within which it has to be in force.
+        harm_s: Seconds for which filler tasks may keep a serving task over its target.
         record_bytes: Largest record in bytes that the log accepts.
         undersized: Whether this entry VM has too little CPU or bandwidth to own a
             large cell.
@@ -121,6 +125,7 @@
     cancellation_limit_s: float
     drain_limit_s: float
     config_apply_s: float
+    harm_s: float
     record_bytes: int
     undersized: bool
 
@@ -157,6 +162,7 @@
         cancellation_limit_s=raw.bounds.cancel_ms / 1000,
         drain_limit_s=raw.bounds.drain_ms / 1000,
         config_apply_s=raw.bounds.config_apply_ms / 1000,
+        harm_s=raw.bounds.harm_ms / 1000,
         record_bytes=raw.platform.record_bytes,
         undersized=_is_undersized(raw.limits),
     )
