Bound what clients of the HTTP servers may use, by mechanism

Cause: 200 connections with unfinished bodies held 237 MB, oversized bodies were read up to the limit, and the end of descriptors ended the process.

Change: package httplimits with one budget for all requests without a response (the slowest sender gives way with 503 and Retry-After), a table of connections that closes idle ones first, and counters for each limit. Announced bodies over the limit are refused before they are read; heads, chunks and the work per turn are bounded; the limits of the platform's configuration apply once it is in force. Discarding after a refusal is bounded in number, bytes and time. Jobs of more steps than a record can hold are refused before their steps are decoded. The class of one connection moves to serverconnection.py.

--- a/arbutusladder/client.py
+++ b/arbutusladder/client.py
@@ -54,6 +54,7 @@
         Reason.DRAINING,
         Reason.CONFIG_UNCONFIRMED,
         Reason.TOO_MANY_CALLERS,
+        Reason.UNFINISHED_BYTES_FULL,
     )
 )
 SERVICE_PREFIX = "/services/"
--- a/arbutusladder/entry.py
+++ b/arbutusladder/entry.py
@@ -38,6 +38,7 @@
     not_run_response,
 )
 from arbutusladder.httpclient import HttpResponse
+from arbutusladder.httplimits.limiter import native_limiter
 from arbutusladder.httpserver import HttpRequest, HttpServer
 from arbutusladder.ids import RequestId
 from arbutusladder.journal import Journal
@@ -182,9 +183,8 @@
         self._server = HttpServer(
             settings.listen,
             self._handle_request,
-            settings.limits.max_body_bytes,
-            settings.limits.max_callers,
-            self._record_handler_failure,
+            on_error=self._record_handler_failure,
+            limiter=native_limiter(settings, self.metrics, self._journal),
         )
         self.address = self._server.address
         self._platform_feeds = PlatformFeeds(
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -126,6 +126,13 @@
     "endpoint {endpoint} is suspect: {reason}",
     "check the endpoint if this event recurs",
 )
+CLIENT_LIMIT_REACHED = Event(
+    310,
+    Level.WARNING,
+    "{count} requests or connections of clients were refused by the limit {limit}, the "
+    "last one from {peer}",
+    "find the client; if it is an ordinary one, raise the limit in http_limits",
+)
 ENDPOINT_LEAVING = Event(301, Level.INFO, "endpoint {endpoint} is leaving")
 
 # 400 to 499: jobs and workers
--- a/arbutusladder/fakeexecutor.py
+++ b/arbutusladder/fakeexecutor.py
@@ -30,8 +30,10 @@
 from arbutusladder.errors import ProtocolError
 from arbutusladder.headernames import LEAVING_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER
 from arbutusladder.httpclient import HttpResponse, split_address
-from arbutusladder.httpserver import HttpRequest, _ServerConnection
+from arbutusladder.httplimits.limiter import trusted_limiter
+from arbutusladder.httpserver import HttpRequest
 from arbutusladder.messages import Header
+from arbutusladder.serverconnection import ServerConnection
 
 CONTROL_PREFIX = "/v1/"
 MAX_BODY_BYTES = 16 * 1024 * 1024
@@ -304,7 +306,7 @@
         self.number = number
         self.silent = False
         self.is_control = False
-        self.http = _ServerConnection(sock, "", MAX_BODY_BYTES)
+        self.http = ServerConnection(sock, "", trusted_limiter(MAX_BODY_BYTES, 1))
 
 
 def main() -> None:
--- /dev/null
+++ b/arbutusladder/httplimits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of what clients of an HTTP server may use, whatever they send."""
--- /dev/null
+++ b/arbutusladder/httplimits/limiter.py
@@ -0,0 +1,174 @@
+"""Limits of one HTTP server: settings, limits of the configuration, state, counters."""
+
+import resource
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from arbutusladder.config import load_yaml_file
+from arbutusladder.httplimits.budget import RequestBudget
+from arbutusladder.httplimits.connections import ConnectionTable
+from arbutusladder.httplimits.refusals import Limit, RefusalLog
+from arbutusladder.journal import Journal
+from arbutusladder.metrics import Metrics
+from arbutusladder.settings import HttpLimits, Settings
+
+# Fewest connections that a server admits, however few descriptors it may open.
+MIN_CONNECTIONS = 16
+# Budget of a server whose callers are all trusted, which never reach it.
+UNBOUNDED_BYTES = 2**62
+# Bytes and connections for servers that answer a few callers without bodies.
+SMALL_UNFINISHED_BYTES = 1024 * 1024
+SMALL_BODY_BYTES = 4096
+SMALL_CONNECTIONS = 64
+
+
+@dataclass(frozen=True)
+class RequestLimits:
+    """Limits of one request.
+
+    Attributes:
+        max_body_bytes: Largest body.
+        max_head_bytes: Largest head, with the request line.
+        head_timeout_s: Longest time from the first byte of a head to its end.
+        read_timeout_s: Longest time without a byte of a body.
+    """
+
+    max_body_bytes: int
+    max_head_bytes: int
+    head_timeout_s: float
+    read_timeout_s: float
+
+
+class HttpLimiter:
+    """Limits of one server and what its clients use of them.
+
+    Args:
+        settings: Settings of the limits.
+        metrics: Counters.
+        journal: Event log; None to log nothing.
+        get_limits: Returns the limits of a request that are in force, which replace
+            those of the settings; None where the settings apply.
+        max_connections: Further limit of the connections.
+        weigh: Returns the bytes of memory that a handler needs for a body.
+
+    Attributes:
+        settings: Settings of the limits.
+        budget: Memory of unfinished requests.
+        connections: Open connections.
+        weigh: Returns the bytes of memory that a handler needs for a body.
+        discards: Connections whose data is being discarded.
+    """
+
+    def __init__(
+        self,
+        settings: HttpLimits,
+        metrics: Metrics | None = None,
+        journal: Journal | None = None,
+        get_limits: Callable[[], RequestLimits | None] = lambda: None,
+        max_connections: int | None = None,
+        weigh: Callable[[bytes], int] = len,
+    ):
+        self.settings = settings
+        self.budget = RequestBudget(settings.unfinished_bytes)
+        limit = min(settings.max_connections, max_connections or 2**31)
+        self.connections = ConnectionTable(
+            min(limit, _free_descriptors(settings.reserved_descriptors)),
+            settings.peer_connections,
+        )
+        self.weigh = weigh
+        self.discards = 0
+        self._log = RefusalLog(metrics or Metrics(), journal)
+        self._get_limits = get_limits
+        self._default_limits = RequestLimits(
+            settings.body_bytes,
+            settings.head_bytes,
+            settings.head_timeout_s,
+            settings.read_timeout_s,
+        )
+
+    @property
+    def request_limits(self) -> RequestLimits:
+        """Limits of a request that are in force now."""
+        return self._get_limits() or self._default_limits
+
+    def refused(self, limit: Limit, peer: str, now: float) -> None:
+        """Counts and logs a refused request or a closed connection."""
+        self._log.add(limit, peer, now)
+
+    def make_room_for_connection(self, host: str, now: float) -> Limit | None:
+        """Closes a connection if a new one would exceed a limit.
+
+        Args:
+            host: Address of the new client.
+            now: Present monotonic time in seconds.
+
+        Returns:
+            The limit because of which one connection must be closed, or None.
+            `connections` tells whether the new one fits now.
+        """
+        limit = self.connections.exceeded_limit(host)
+        if limit is Limit.PEER_CONNECTIONS:
+            self.connections.close_idle(host)
+        elif limit is Limit.CONNECTIONS:
+            self.free_connection(now)
+        return limit
+
+    def free_connection(self, now: float) -> bool:
+        """Closes an idle connection, or else makes the slowest sender give way.
+
+        Returns:
+            Whether there was one.
+        """
+        return self.connections.close_idle() or self.budget.shed_slowest(now)
+
+
+def _free_descriptors(reserved: int) -> int:
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        return 2**31
+    return max(MIN_CONNECTIONS, soft_limit - reserved)
+
+
+def trusted_limiter(max_body: int, max_connections: int) -> HttpLimiter:
+    """Returns the limits of a server all of whose callers are trusted."""
+    settings = HttpLimits(
+        body_bytes=max_body,
+        unfinished_bytes=UNBOUNDED_BYTES,
+        max_connections=max_connections,
+    )
+    return HttpLimiter(settings)
+
+
+def small_limiter(metrics: Metrics, journal: Journal) -> HttpLimiter:
+    """Returns the limits of a server for a few callers whose requests have no body."""
+    settings = HttpLimits(
+        body_bytes=SMALL_BODY_BYTES,
+        unfinished_bytes=SMALL_UNFINISHED_BYTES,
+        max_connections=SMALL_CONNECTIONS,
+    )
+    return HttpLimiter(settings, metrics, journal)
+
+
+def native_limiter(
+    settings: Settings, metrics: Metrics, journal: Journal
+) -> HttpLimiter:
+    """Returns the limits of the native interface."""
+    limits = settings.http_limits
+    return HttpLimiter(
+        msgspec.structs.replace(limits, body_bytes=settings.limits.max_body_bytes),
+        metrics,
+        journal,
+        max_connections=settings.limits.max_callers,
+    )
+
+
+def load_limits(path: str) -> HttpLimits:
+    """Reads a YAML file with the settings of the limits.
+
+    Raises:
+        ExceptionGroup: The file cannot be used; holds a ``ConfigError`` for
+            each problem.
+    """
+    return load_yaml_file(path, HttpLimits, lambda limits: [])
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -5,10 +5,12 @@
 state is in the platform's log.
 
 Usage:
-    platform [--metrics=PORT/PATH]
+    platform [--metrics=PORT/PATH] [--limits=FILE]
 
 Options:
     --metrics=PORT/PATH  Port and path that serve the metrics; none by default.
+    --limits=FILE        YAML file with the limits of what clients may use, in the
+                         format of http_limits in docs/configuration.md.
 """
 
 import signal
@@ -26,6 +28,7 @@
 from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.httpclient import HttpResponse
+from arbutusladder.httplimits.limiter import HttpLimiter, load_limits, small_limiter
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.httpserver import HttpRequest, HttpServer
 from arbutusladder.ids import VmId
@@ -35,6 +38,7 @@
 from arbutusladder.metricspage import MetricsPage
 from arbutusladder.platform.advice import PlatformAdvisor
 from arbutusladder.platform.clientapi import ClientApi
+from arbutusladder.platform.jsonbody import memory_bytes
 from arbutusladder.platform.routes import (
     CONFIG_KEY,
     CONFIG_TOPIC,
@@ -48,6 +52,7 @@
     PlatformWorkerClient,
     decode_registry_entry,
 )
+from arbutusladder.settings import HttpLimits
 
 # Seconds that a long-polling read of the configuration waits for a change. A change
 # must be in force within 2 s even if the connection of one read stops responding.
@@ -62,7 +67,6 @@
 # Longest time in seconds for the release of a claim.
 MAX_RELEASE_S = 1.5
 STOP_POLL_INTERVAL_S = 0.05
-MAX_BODY_BYTES = 1024 * 1024
 # Exit codes of the process.
 EXIT_CODE_STOPPED = 0
 EXIT_CODE_TASK_FAILED = 1
@@ -75,12 +79,18 @@
         settings: Settings of the entry VM.
         metrics: Port and path that serve the metrics, such as ``9464/metrics``;
             empty for none.
+        limits: Limits of what clients may use.
 
     Attributes:
         exit_code: Exit code of the process after `run`.
     """
 
-    def __init__(self, settings: EntrySettings, metrics: str = ""):
+    def __init__(
+        self,
+        settings: EntrySettings,
+        metrics: str = "",
+        limits: HttpLimits | None = None,
+    ):
         self._settings = settings
         self._clock = Clock()
         self._journal = Journal(settings.vm)
@@ -120,8 +130,14 @@
         self._client_server = HttpServer(
             settings.front,
             client_api.handle,
-            max_body=MAX_BODY_BYTES,
             on_error=self._log_request_failure,
+            limiter=HttpLimiter(
+                limits or HttpLimits(),
+                self._metrics,
+                self._journal,
+                lambda: self._routes.limits if self._routes else None,
+                weigh=memory_bytes,
+            ),
         )
         self._tasks: list[curio.Task] = []
         self.exit_code = EXIT_CODE_STOPPED
@@ -132,13 +148,17 @@
             host = settings.peer.rpartition(":")[0]
             self._metrics_servers.append(
                 HttpServer(
-                    f"{host}:{port}", page.answer, on_error=self._log_request_failure
+                    f"{host}:{port}",
+                    page.answer,
+                    on_error=self._log_request_failure,
+                    limiter=small_limiter(self._metrics, self._journal),
                 )
             )
         self._readiness_server = HttpServer(
             settings.ready,
             self._answer_readiness_check,
             on_error=self._log_request_failure,
+            limiter=small_limiter(self._metrics, self._journal),
         )
 
     def request_stop(self) -> None:
@@ -252,7 +272,8 @@
     """Runs the daemon until SIGTERM or SIGINT."""
     options = docopt(__doc__)
     configure("info", NonBlockingLogOutput(sys.stdout.fileno()))
-    daemon = EntryDaemon(load_settings(), options["--metrics"] or "")
+    limits = load_limits(options["--limits"]) if options["--limits"] else None
+    daemon = EntryDaemon(load_settings(), options["--metrics"] or "", limits)
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.request_stop())
     signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -107,14 +107,13 @@
             )
         except msgspec.MsgspecError as error:
             return _json_answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
+        except JobTooLarge as error:
+            return self._refuse_too_large(error)
         received_at = self._clock.now()
         try:
             outcome = await self._member.submit(record, deadline)
         except JobTooLarge as error:
-            self._metrics.count("refused.job_too_large")
-            return _json_answer(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)}
-            )
+            return self._refuse_too_large(error)
         self._metrics.timing("submission", self._clock.now() - received_at)
         self._journal.write(
             events.JOB_SUBMITTED,
@@ -171,6 +170,10 @@
             [Header("Retry-After", str(retry_s))],
         )
 
+    def _refuse_too_large(self, error: JobTooLarge) -> HttpResponse:
+        self._metrics.count("refused.job_too_large")
+        return _json_answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)})
+
     def _response_deadline(self, request: HttpRequest, queue: Queue) -> float:
         """Returns the time by which the outcome of a request must be known."""
         wait_s = queue.timeout_s
--- a/arbutusladder/platform/jobbody.py
+++ b/arbutusladder/platform/jobbody.py
@@ -7,7 +7,7 @@
 from arbutusladder.ids import JobId
 from arbutusladder.messages import QueueTerms, Resources, StepSpec, SubmittedJob
 from arbutusladder.platform.bounds import Amount, Duration
-from arbutusladder.platform.jsonbody import decode_json
+from arbutusladder.platform.jsonbody import check_step_count, decode_json
 
 # Form of the job ids, which clients choose.
 JOB_ID_PATTERN = re.compile(r"[0-9a-fA-F]{16}")
@@ -71,8 +71,10 @@
 
     Raises:
         msgspec.ValidationError: The body is not a valid job.
+        JobTooLarge: The job has too many steps.
     """
     try:
+        check_step_count(body)
         job = decode_json(body, _Job)
         _check_steps(job.steps)
     except msgspec.MsgspecError as error:
--- a/arbutusladder/platform/routes.py
+++ b/arbutusladder/platform/routes.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from arbutusladder.httplimits.limiter import RequestLimits
 from arbutusladder.messages import QueueTerms
 from arbutusladder.platform.bounds import (
     Amount,
@@ -17,6 +18,13 @@
 # Topic and key of the configuration in the platform's log.
 CONFIG_TOPIC = "keyed.op"
 CONFIG_KEY = "config"
+# Limits of requests where the configuration has none, as the platform documents them.
+DEFAULT_LIMITS = RequestLimits(
+    max_body_bytes=262144,
+    max_head_bytes=16384,
+    head_timeout_s=3.0,
+    read_timeout_s=15.0,
+)
 
 
 class _Advice(msgspec.Struct, rename="kebab"):
@@ -50,11 +58,25 @@
     advice: _Advice | None = None
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    """Limits of requests; 0 stands for the default.
+
+    ``header-timeout-ms`` limits the time for a head, and ``idle-timeout-ms`` the time
+    without a byte of a request.
+    """
+
+    max_header_bytes: Amount = 0
+    max_body_bytes: Amount = 0
+    header_timeout_ms: Duration = 0.0
+    idle_timeout_ms: Duration = 0.0
+
+
 class _Config(msgspec.Struct, rename="kebab"):
     """The operator's configuration."""
 
     version: Position
     routes: list[_Route]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 @dataclass(frozen=True)
@@ -81,10 +103,12 @@
     Attributes:
         version: Version of the configuration; increases with each change.
         queues_by_host: Queues of each host, longest prefix first.
+        limits: Limits of requests.
     """
 
     version: int
     queues_by_host: dict[str, list[Queue]] = field(default_factory=dict)
+    limits: RequestLimits = DEFAULT_LIMITS
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching path prefix.
@@ -117,7 +141,17 @@
         queues_by_host.setdefault(route.host, []).append(_queue_from_route(route))
     for queues in queues_by_host.values():
         queues.sort(key=lambda queue: -len(queue.path_prefix))
-    return RoutingTable(config.version, queues_by_host)
+    return RoutingTable(config.version, queues_by_host, _request_limits(config.limits))
+
+
+def _request_limits(limits: _Limits) -> RequestLimits:
+    default = DEFAULT_LIMITS
+    return RequestLimits(
+        limits.max_body_bytes or default.max_body_bytes,
+        limits.max_header_bytes or default.max_head_bytes,
+        limits.header_timeout_ms / 1000 or default.head_timeout_s,
+        limits.idle_timeout_ms / 1000 or default.read_timeout_s,
+    )
 
 
 def _queue_from_route(route: _Route) -> Queue:
--- a/arbutusladder/reasons.py
+++ b/arbutusladder/reasons.py
@@ -112,6 +112,15 @@
         "correct the request",
         400,
     ),
+    Reason.REQUEST_INCOMPLETE: ReasonText(
+        "The request did not arrive in time.",
+        "send the whole request within the timeouts of http_limits",
+        408,
+    ),
+    Reason.UNFINISHED_BYTES_FULL: ReasonText(
+        "Too many large or slow requests are being received together.",
+        "retry after the given time",
+    ),
     Reason.TOO_MANY_CALLERS: ReasonText(
         "The entry VM has max_callers open connections.",
         "retry at another entry VM, or raise limits.max_callers",
--- a/arbutusladder/retries.py
+++ b/arbutusladder/retries.py
@@ -118,6 +118,8 @@
     Reason.CALLER_DISCONNECTED: _not_run(),
     Reason.BODY_TOO_LARGE: _not_run(),
     Reason.MALFORMED_REQUEST: _not_run(),
+    Reason.REQUEST_INCOMPLETE: _not_run(),
+    Reason.UNFINISHED_BYTES_FULL: _not_run(),
     Reason.TOO_MANY_CALLERS: _not_run(),
     Reason.KEY_MISSING: _not_run(),
     Reason.KEY_MALFORMED: _not_run(),
--- a/arbutusladder/settings.py
+++ b/arbutusladder/settings.py
@@ -7,6 +7,183 @@
 from arbutusladder.strict import StrictStruct
 
 
+class HttpLimits(StrictStruct):
+    """
+    Limits on what clients of an HTTP server may use. A request that reaches one is refused before it is handled, so it has not run. The counter of a limit is http_limits.NAME. The daemon of the users' platform reads these fields from the file of its option --limits.
+    """
+
+    body_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Size limit of a body on the users' platform until its configuration is known, which then applies; the native interface has limits.max_body_bytes. Status 413, counter body_bytes.",
+                ge=1024,
+            ),
+        ]
+        | UnsetType
+    ) = 262144
+    """
+    Size limit of a body on the users' platform until its configuration is known, which then applies; the native interface has limits.max_body_bytes. Status 413, counter body_bytes.
+    """
+    head_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Size limit of a request's head in bytes, unless the platform's configuration has one. Status 431, counter head_bytes.",
+                ge=1024,
+            ),
+        ]
+        | UnsetType
+    ) = 16384
+    """
+    Size limit of a request's head in bytes, unless the platform's configuration has one. Status 431, counter head_bytes.
+    """
+    head_fields: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the header fields of a request. Status 431, counter head_fields.",
+                ge=16,
+            ),
+        ]
+        | UnsetType
+    ) = 500
+    """
+    Limit on the header fields of a request. Status 431, counter head_fields.
+    """
+    head_timeout_s: (
+        Annotated[
+            float,
+            Meta(
+                description="Longest time from the first byte of a head to its end, unless the platform's configuration has one. Status 408, counter head_time.",
+                gt=0.0,
+                le=300.0,
+            ),
+        ]
+        | UnsetType
+    ) = 3.0
+    """
+    Longest time from the first byte of a head to its end, unless the platform's configuration has one. Status 408, counter head_time.
+    """
+    read_timeout_s: (
+        Annotated[
+            float,
+            Meta(
+                description="Longest time without a byte of a body, unless the platform's configuration has one. Status 408, counter read_time.",
+                gt=0.0,
+                le=300.0,
+            ),
+        ]
+        | UnsetType
+    ) = 15.0
+    """
+    Longest time without a byte of a body, unless the platform's configuration has one. Status 408, counter read_time.
+    """
+    chunks: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the chunks of a body. Status 400, counter chunks.",
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 8192
+    """
+    Limit on the chunks of a body. Status 400, counter chunks.
+    """
+    unfinished_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the memory of all requests without a response together; beyond it the slowest senders are refused. Status 503, counter unfinished_bytes.",
+                ge=1048576,
+            ),
+        ]
+        | UnsetType
+    ) = 33554432
+    """
+    Limit on the memory of all requests without a response together; beyond it the slowest senders are refused. Status 503, counter unfinished_bytes.
+    """
+    events_per_turn: (
+        Annotated[
+            int,
+            Meta(
+                description="Parts of requests that one connection processes before others get their turn.",
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 16
+    """
+    Parts of requests that one connection processes before others get their turn.
+    """
+    max_connections: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on open connections, of which idle ones are closed first; the native interface also has limits.max_callers. Counter connections.",
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 2000
+    """
+    Limit on open connections, of which idle ones are closed first; the native interface also has limits.max_callers. Counter connections.
+    """
+    reserved_descriptors: (
+        Annotated[
+            int,
+            Meta(
+                description="File descriptors of the process that are not used for connections of clients. Counter descriptors, if there are too few nevertheless.",
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 200
+    """
+    File descriptors of the process that are not used for connections of clients. Counter descriptors, if there are too few nevertheless.
+    """
+    peer_connections: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on open connections of one client address, 0 for none: a balancer may have one address for all clients. Counter peer_connections.",
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 0
+    """
+    Limit on open connections of one client address, 0 for none: a balancer may have one address for all clients. Counter peer_connections.
+    """
+    discards: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the refused clients that still send and whose data is read, so that they receive the response; others are disconnected. Counter discards.",
+                ge=0,
+            ),
+        ]
+        | UnsetType
+    ) = 16
+    """
+    Limit on the refused clients that still send and whose data is read, so that they receive the response; others are disconnected. Counter discards.
+    """
+    discard_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the bytes that are read of each of these.", ge=0
+            ),
+        ]
+        | UnsetType
+    ) = 33554432
+    """
+    Limit on the bytes that are read of each of these.
+    """
+
+
 class Limits(StrictStruct):
     """
     Limits on memory and queues.
@@ -190,6 +367,9 @@
     )
     timing: Timing | UnsetType = field(default_factory=lambda: convert({}, type=Timing))
     limits: Limits | UnsetType = field(default_factory=lambda: convert({}, type=Limits))
+    http_limits: HttpLimits | UnsetType = field(
+        default_factory=lambda: convert({}, type=HttpLimits)
+    )
     statsd: (
         Annotated[
             str,
--- a/arbutusladder/states.py
+++ b/arbutusladder/states.py
@@ -132,6 +132,8 @@
     CALLER_DISCONNECTED = "caller_gone"
     BODY_TOO_LARGE = "body_too_large"
     MALFORMED_REQUEST = "malformed_request"
+    REQUEST_INCOMPLETE = "request_incomplete"
+    UNFINISHED_BYTES_FULL = "unfinished_bytes_full"
     TOO_MANY_CALLERS = "too_many_callers"
     # Idempotency keys
     KEY_MISSING = "key_missing"
