Bound messages between entry VMs and apply changed limits at once

Cause: a deeply nested message raised RecursionError, which ended the receiving task and with it the process; there was no limit on the size of a message or the number of peers.

Change: ZMQ_MAXMSGSIZE, a bound on peers, RecursionError as a malformed message. The settings' section is named input_limits, as it also covers messages. More descriptors are reserved (600), since a connection to an entry VM takes two. Limits of a new configuration apply to the next request of open connections.

--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -70,7 +70,7 @@
     SubmittedJob,
 )
 from arbutusladder.metrics import Metrics
-from arbutusladder.peers import PeerTransport, ReceivedMessage
+from arbutusladder.peers import PeerLimits, PeerTransport, ReceivedMessage
 
 # Seconds between reads of the jobs topic by an entry VM that does not own the cell.
 JOBS_POLL_INTERVAL_S = 1.0
@@ -108,6 +108,7 @@
             task may start on it.
         undersized: Whether this entry VM has too few resources to own a large cell.
         job_limits: Limits of the size of a job.
+        peer_limits: Limits of messages between entry VMs.
     """
 
     registry_topic: str
@@ -117,6 +118,7 @@
     drain_limit_s: float = 2.0
     undersized: bool = False
     job_limits: JobLimits = JobLimits()
+    peer_limits: PeerLimits = PeerLimits()
 
 
 @dataclass
@@ -185,6 +187,7 @@
             dependencies.clock,
             dependencies.metrics,
             lambda error: log_failure(dependencies.journal, "message handler", error),
+            dependencies.settings.peer_limits,
         )
         self.appender = JobAppender(self.log, self._clock, self)
         self.log.set_forwarders(self.peers, self._forwarding_seats)
@@ -566,6 +569,7 @@
         await self.peers.send(sender, await self.log.serve_forwarded(call))
 
     async def _handle_message(self, received: ReceivedMessage) -> None:
+        sender = received.sender
         match received.message:
             case MemberHello() as hello:
                 if self._owner:
@@ -574,9 +578,7 @@
                 self._list_version = listed.version
                 await self.update_members(listed.members)
             case LogCall() as call:
-                await curio.spawn(
-                    self._serve_log_call, received.sender, call, daemon=True
-                )
+                await curio.spawn(self._serve_log_call, sender, call, daemon=True)
             case JobsRelay() as relay:
                 await self._apply_appended_jobs(
                     [KeyedRecord(r.offset, r.key, r.value) for r in relay.records],
@@ -590,15 +592,13 @@
                 self.apply_relay(relay)
                 await self.appender.confirm(state.job_id for state in relay.states)
             case AdviceCall() as call:
-                await curio.spawn(
-                    self._serve_advice_call, received.sender, call, daemon=True
-                )
+                await curio.spawn(self._serve_advice_call, sender, call, daemon=True)
             case StoreCall() as call:
                 await spawn_logged(
                     self._dependencies.journal,
                     "store call",
                     self._serve_store_call,
-                    received.sender,
+                    sender,
                     call,
                 )
             case AdviceReply() | LogReply() | StoreReply() as reply:
--- a/arbutusladder/codec.py
+++ b/arbutusladder/codec.py
@@ -43,7 +43,7 @@
     try:
         sender, sent_at, name, body = _ENVELOPE_DECODER.decode(data)
         return sender, sent_at, _decoder(name).decode(body)
-    except (msgspec.MsgspecError, AttributeError, TypeError) as error:
+    except (msgspec.MsgspecError, AttributeError, TypeError, RecursionError) as error:
         raise ProtocolError(
             f"message cannot be decoded ({error}); run the same version everywhere"
         ) from error
--- a/arbutusladder/docgen.py
+++ b/arbutusladder/docgen.py
@@ -17,6 +17,7 @@
 
 from arbutusladder import cmdcontext, cmdline, events
 from arbutusladder.cell import joblimits
+from arbutusladder.httplimits.refusals import Limit
 from arbutusladder.reasons import TEXT_BY_REASON
 
 REPOSITORY_ROOT = Path(__file__).parent.parent
@@ -216,6 +217,14 @@
         "`unknown.REASON` for outcomes that are unknown. The status is that of a "
         "refusal; an unknown outcome has status 504 for every reason.",
         _format_table(("reason", "status", "meaning", "do"), rows),
+        "## Limits",
+        "`input_limits.LIMIT` counts the requests and connections of clients that a "
+        "limit has refused: "
+        + ", ".join(_format_code(limit.value) for limit in Limit)
+        + ". `peers.too_large` counts messages to other entry VMs that were too large "
+        "to be sent, and `peers.too_many` connections to others that were not opened. "
+        "The limits are described in "
+        "[configuration.md](configuration.md#inputlimits).",
     )
 
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -131,7 +131,7 @@
     Level.WARNING,
     "{count} requests or connections of clients were refused by the limit {limit}, the "
     "last one from {peer}",
-    "find the client; if it is an ordinary one, raise the limit in http_limits",
+    "find the client; if it is an ordinary one, raise the limit in input_limits",
 )
 ENDPOINT_LEAVING = Event(301, Level.INFO, "endpoint {endpoint} is leaving")
 
--- a/arbutusladder/httplimits/limiter.py
+++ b/arbutusladder/httplimits/limiter.py
@@ -12,12 +12,12 @@
 from arbutusladder.httplimits.refusals import Limit, RefusalLog
 from arbutusladder.journal import Journal
 from arbutusladder.metrics import Metrics
-from arbutusladder.settings import HttpLimits, Settings
+from arbutusladder.settings import InputLimits, Settings
 
-# Fewest connections that a server admits, however few descriptors it may open.
-MIN_CONNECTIONS = 16
-# Budget of a server whose callers are all trusted, which never reach it.
-UNBOUNDED_BYTES = 2**62
+# Share of the descriptors that clients may use although fewer than reserved remain.
+MIN_CLIENT_SHARE = 0.25
+# Limit that is never reached, such as that of the memory of trusted callers.
+UNBOUNDED = 2**62
 # Bytes and connections for servers that answer a few callers without bodies.
 SMALL_UNFINISHED_BYTES = 1024 * 1024
 SMALL_BODY_BYTES = 4096
@@ -63,7 +63,7 @@
 
     def __init__(
         self,
-        settings: HttpLimits,
+        settings: InputLimits,
         metrics: Metrics | None = None,
         journal: Journal | None = None,
         get_limits: Callable[[], RequestLimits | None] = lambda: None,
@@ -72,9 +72,9 @@
     ):
         self.settings = settings
         self.budget = RequestBudget(settings.unfinished_bytes)
-        limit = min(settings.max_connections, max_connections or 2**31)
+        limit = min(settings.max_connections, max_connections or UNBOUNDED)
         self.connections = ConnectionTable(
-            min(limit, _free_descriptors(settings.reserved_descriptors)),
+            min(limit, _client_descriptors(settings.reserved_descriptors)),
             settings.peer_connections,
         )
         self.weigh = weigh
@@ -124,26 +124,27 @@
         return self.connections.close_idle() or self.budget.shed_slowest(now)
 
 
-def _free_descriptors(reserved: int) -> int:
+def _client_descriptors(reserved: int) -> int:
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if soft_limit == resource.RLIM_INFINITY:
-        return 2**31
-    return max(MIN_CONNECTIONS, soft_limit - reserved)
+        return UNBOUNDED
+    return max(soft_limit - reserved, int(soft_limit * MIN_CLIENT_SHARE))
 
 
 def trusted_limiter(max_body: int, max_connections: int) -> HttpLimiter:
     """Returns the limits of a server all of whose callers are trusted."""
-    settings = HttpLimits(
+    settings = InputLimits(
         body_bytes=max_body,
-        unfinished_bytes=UNBOUNDED_BYTES,
+        unfinished_bytes=UNBOUNDED,
         max_connections=max_connections,
+        reserved_descriptors=0,
     )
     return HttpLimiter(settings)
 
 
 def small_limiter(metrics: Metrics, journal: Journal) -> HttpLimiter:
     """Returns the limits of a server for a few callers whose requests have no body."""
-    settings = HttpLimits(
+    settings = InputLimits(
         body_bytes=SMALL_BODY_BYTES,
         unfinished_bytes=SMALL_UNFINISHED_BYTES,
         max_connections=SMALL_CONNECTIONS,
@@ -155,7 +156,7 @@
     settings: Settings, metrics: Metrics, journal: Journal
 ) -> HttpLimiter:
     """Returns the limits of the native interface."""
-    limits = settings.http_limits
+    limits = settings.input_limits
     return HttpLimiter(
         msgspec.structs.replace(limits, body_bytes=settings.limits.max_body_bytes),
         metrics,
@@ -164,11 +165,11 @@
     )
 
 
-def load_limits(path: str) -> HttpLimits:
+def load_limits(path: str) -> InputLimits:
     """Reads a YAML file with the settings of the limits.
 
     Raises:
         ExceptionGroup: The file cannot be used; holds a ``ConfigError`` for
             each problem.
     """
-    return load_yaml_file(path, HttpLimits, lambda limits: [])
+    return load_yaml_file(path, InputLimits, lambda limits: [])
--- a/arbutusladder/httplimits/refusals.py
+++ b/arbutusladder/httplimits/refusals.py
@@ -17,7 +17,7 @@
 
 
 class Limit(enum.Enum):
-    """A limit; the value is its name in the counter ``http_limits.NAME``."""
+    """A limit; the value is its name in the counter ``input_limits.NAME``."""
 
     BODY_BYTES = "body_bytes"
     HEAD_BYTES = "head_bytes"
@@ -94,7 +94,7 @@
             peer: Address of the client.
             now: Present monotonic time in seconds.
         """
-        self._metrics.count(f"http_limits.{limit.value}")
+        self._metrics.count(f"input_limits.{limit.value}")
         self._unlogged[limit] += 1
         if self._journal is None or now < self._next_line_at.get(limit, now):
             return
--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -26,6 +26,12 @@
 ZMQ_HEARTBEAT_TIMEOUT_MS = 1500
 RECONNECT_MS = 100
 MAX_RECONNECT_MS = 1000
+# Largest message, which is above the largest response of the log that one entry VM
+# reads for another (16 MB).
+MAX_MESSAGE_BYTES = 32 * 1024 * 1024
+# Peers to which one connects; each takes two descriptors. The largest deployment has
+# 297 entry VMs.
+MAX_PEERS = 400
 # Messages queued for each peer, also the high-water mark of the sockets.
 MAX_QUEUED_MESSAGES = 2000
 # Seconds after a connect during which messages wait for the connection instead of
@@ -36,6 +42,23 @@
 LINGER_MS = 200
 
 
+@dataclass(frozen=True)
+class PeerLimits:
+    """Limits of what other processes may use.
+
+    Attributes:
+        max_message_bytes: Largest message; ZeroMQ closes the connection of a larger
+            one before it has received it.
+        max_peers: Largest number of peers to which one connects.
+    """
+
+    max_message_bytes: int = MAX_MESSAGE_BYTES
+    max_peers: int = MAX_PEERS
+
+
+DEFAULT_LIMITS = PeerLimits()
+
+
 @dataclass
 class ReceivedMessage:
     """A message from another entry VM.
@@ -67,6 +90,7 @@
         clock: Clock of this process.
         metrics: Counters.
         on_error: Called with an exception of the handler, whose message is dropped.
+        limits: Limits of what other processes may use.
 
     Attributes:
         address: Address and port on which this process listens.
@@ -81,14 +105,16 @@
         clock: Clock,
         metrics: Metrics,
         on_error: Callable[[Exception], None] = lambda error: None,
+        limits: PeerLimits = DEFAULT_LIMITS,
     ):
         self._seat = seat
+        self._limits = limits
         self._handler = handler
         self._on_error = on_error
         self._clock = clock
         self._metrics = metrics
         self._context = zmq.Context(io_threads=1)
-        self._pull_socket = _create_pull_socket(self._context, listen)
+        self._pull_socket = _create_pull_socket(self._context, listen, limits)
         self.address = self._pull_socket.getsockopt_string(zmq.LAST_ENDPOINT)[6:]
         self._queue_by_seat: dict[SeatId, curio.Queue] = {}
         self._push_socket_by_seat: dict[SeatId, zmq.Socket] = {}
@@ -120,11 +146,15 @@
         Messages queued for the old address are dropped.
 
         Returns:
-            Whether the address is valid; a peer with an invalid one is not added.
+            Whether the peer was added; one with an invalid address is not, nor one
+            beyond the limit.
         """
         if self._address_by_seat.get(seat) == address:
             return True
         await self.disconnect(seat)
+        if len(self._address_by_seat) >= self._limits.max_peers:
+            self._metrics.count("peers.too_many")
+            return False
         try:
             self._add_peer(seat, address)
         except zmq.ZMQError:
@@ -167,6 +197,9 @@
         return codec.pack_envelope(self._seat, self._clock.wall_time(), message)
 
     async def _send_data(self, seat: SeatId, data: bytes) -> bool:
+        if len(data) > self._limits.max_message_bytes:
+            self._metrics.count("peers.too_large")
+            return False
         queue = self._queue_by_seat.get(seat)
         if queue is None or queue.full():
             self._metrics.count("peers.dropped")
@@ -317,8 +350,11 @@
     return True
 
 
-def _create_pull_socket(context: zmq.Context, listen: str) -> zmq.Socket:
+def _create_pull_socket(
+    context: zmq.Context, listen: str, limits: PeerLimits
+) -> zmq.Socket:
     sock = context.socket(zmq.PULL)
+    sock.setsockopt(zmq.MAXMSGSIZE, limits.max_message_bytes)
     _set_heartbeat_options(sock)
     sock.bind(f"tcp://{listen}")
     return sock
--- a/arbutusladder/peerservice.py
+++ b/arbutusladder/peerservice.py
@@ -29,7 +29,7 @@
     SubmitJob,
 )
 from arbutusladder.metrics import Metrics
-from arbutusladder.peers import PeerTransport, ReceivedMessage
+from arbutusladder.peers import PeerLimits, PeerTransport, ReceivedMessage
 from arbutusladder.settings import Settings
 from arbutusladder.shardhost import ShardHost
 from arbutusladder.states import Outcome, Reason
@@ -85,6 +85,7 @@
             for seat in self._settings.seats
             if seat.name != self._settings.seat
         }
+        limits = self._settings.input_limits
         return PeerTransport(
             SeatId(self._settings.seat),
             self._settings.peer_listen,
@@ -93,6 +94,7 @@
             self._clock,
             self._metrics,
             lambda error: self._on_failure("message handler", error),
+            PeerLimits(limits.message_bytes, limits.entry_vms),
         )
 
     async def call(self, seat: SeatId, message, timeout: float):
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -10,7 +10,7 @@
 Options:
     --metrics=PORT/PATH  Port and path that serve the metrics; none by default.
     --limits=FILE        YAML file with the limits of what clients may use, in the
-                         format of http_limits in docs/configuration.md.
+                         format of input_limits in docs/configuration.md.
 """
 
 import signal
@@ -36,6 +36,7 @@
 from arbutusladder.logoutput import NonBlockingLogOutput
 from arbutusladder.metrics import Metrics
 from arbutusladder.metricspage import MetricsPage
+from arbutusladder.peers import PeerLimits
 from arbutusladder.platform.advice import PlatformAdvisor
 from arbutusladder.platform.clientapi import ClientApi
 from arbutusladder.platform.jsonbody import memory_bytes
@@ -52,7 +53,7 @@
     PlatformWorkerClient,
     decode_registry_entry,
 )
-from arbutusladder.settings import HttpLimits
+from arbutusladder.settings import InputLimits
 
 # Seconds that a long-polling read of the configuration waits for a change. A change
 # must be in force within 2 s even if the connection of one read stops responding.
@@ -89,8 +90,9 @@
         self,
         settings: EntrySettings,
         metrics: str = "",
-        limits: HttpLimits | None = None,
+        limits: InputLimits | None = None,
     ):
+        limits = limits or InputLimits()
         self._settings = settings
         self._clock = Clock()
         self._journal = Journal(settings.vm)
@@ -113,6 +115,7 @@
                 settings.drain_limit_s,
                 settings.undersized,
                 JobLimits(settings.record_bytes),
+                PeerLimits(limits.message_bytes, limits.entry_vms),
             ),
         )
         self._member = Member(VmId(settings.vm), settings.peer, dependencies)
@@ -132,7 +135,7 @@
             client_api.handle,
             on_error=self._log_request_failure,
             limiter=HttpLimiter(
-                limits or HttpLimits(),
+                limits,
                 self._metrics,
                 self._journal,
                 lambda: self._routes.limits if self._routes else None,
--- a/arbutusladder/reasons.py
+++ b/arbutusladder/reasons.py
@@ -114,7 +114,7 @@
     ),
     Reason.REQUEST_INCOMPLETE: ReasonText(
         "The request did not arrive in time.",
-        "send the whole request within the timeouts of http_limits",
+        "send the whole request within the timeouts of input_limits",
         408,
     ),
     Reason.UNFINISHED_BYTES_FULL: ReasonText(
--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -335,6 +335,8 @@
         self._limiter.connections.set_busy(self._entry)
         if self._closed:
             data = b""
+        # The limits may have changed while the connection was idle.
+        self._limits = self._limiter.request_limits
         self._unprocessed = len(data)
         self._protocol.receive_data(data)
 
--- a/arbutusladder/settings.py
+++ b/arbutusladder/settings.py
@@ -7,9 +7,9 @@
 from arbutusladder.strict import StrictStruct
 
 
-class HttpLimits(StrictStruct):
+class InputLimits(StrictStruct):
     """
-    Limits on what clients of an HTTP server may use. A request that reaches one is refused before it is handled, so it has not run. The counter of a limit is http_limits.NAME. The daemon of the users' platform reads these fields from the file of its option --limits.
+    Limits on what others may send to an entry VM. A request of a client that reaches one is refused before it is handled, so it has not run. The counter of a limit is input_limits.NAME. The daemon of the users' platform reads these fields from the file of its option --limits.
     """
 
     body_bytes: (
@@ -135,14 +135,14 @@
         Annotated[
             int,
             Meta(
-                description="File descriptors of the process that are not used for connections of clients. Counter descriptors, if there are too few nevertheless.",
+                description="File descriptors of the process that are not used for connections of clients, but for entry VMs, executors, workers and the log; if the process may open few, a quarter of them is used for clients nevertheless. Counter descriptors, if there are too few.",
                 ge=0,
             ),
         ]
         | UnsetType
-    ) = 200
+    ) = 600
     """
-    File descriptors of the process that are not used for connections of clients. Counter descriptors, if there are too few nevertheless.
+    File descriptors of the process that are not used for connections of clients, but for entry VMs, executors, workers and the log; if the process may open few, a quarter of them is used for clients nevertheless. Counter descriptors, if there are too few.
     """
     peer_connections: (
         Annotated[
@@ -182,6 +182,32 @@
     """
     Limit on the bytes that are read of each of these.
     """
+    message_bytes: (
+        Annotated[
+            int,
+            Meta(
+                description="Size limit of a message between entry VMs, the same on each of them; a larger one is not sent, and its connection is closed on receipt. Counter peers.too_large of the sender.",
+                ge=1048576,
+            ),
+        ]
+        | UnsetType
+    ) = 33554432
+    """
+    Size limit of a message between entry VMs, the same on each of them; a larger one is not sent, and its connection is closed on receipt. Counter peers.too_large of the sender.
+    """
+    entry_vms: (
+        Annotated[
+            int,
+            Meta(
+                description="Limit on the other entry VMs to which one connects. Counter peers.too_many.",
+                ge=1,
+            ),
+        ]
+        | UnsetType
+    ) = 400
+    """
+    Limit on the other entry VMs to which one connects. Counter peers.too_many.
+    """
 
 
 class Limits(StrictStruct):
@@ -367,8 +393,8 @@
     )
     timing: Timing | UnsetType = field(default_factory=lambda: convert({}, type=Timing))
     limits: Limits | UnsetType = field(default_factory=lambda: convert({}, type=Limits))
-    http_limits: HttpLimits | UnsetType = field(
-        default_factory=lambda: convert({}, type=HttpLimits)
+    input_limits: InputLimits | UnsetType = field(
+        default_factory=lambda: convert({}, type=InputLimits)
     )
     statsd: (
         Annotated[
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,11 +4,12 @@
 import time
 
 import curio
+import zmq
 
 from arbutusladder.clock import Clock
 from arbutusladder.messages import Acknowledgement, DrainVm
 from arbutusladder.metrics import Metrics
-from arbutusladder.peers import PeerTransport
+from arbutusladder.peers import MAX_MESSAGE_BYTES, PeerLimits, PeerTransport
 
 WAIT_S = 5.0
 
@@ -195,3 +196,51 @@
         connected, sent, answer = curio.run(pair.run, scenario)
         assert (connected, sent) == (False, False)
         assert answer.accepted
+
+
+class TestLimits:
+    """Guards against messages of other processes that end this one."""
+
+    def test_unreadable_and_oversized_messages_are_dropped(self):
+        pair = TransportPair()
+
+        async def scenario():
+            with zmq.Context() as context, context.socket(zmq.PUSH) as sock:
+                sock.linger = 0
+                sock.connect(f"tcp://{pair.b.address}")
+                nested = b"\x91" * 200_000 + b"\x90"
+                sock.send(b"\x94\xa1x\xcb" + bytes(8) + b"\xaaAdviceCall" + nested)
+                sock.send(bytes(MAX_MESSAGE_BYTES + 1))
+                for _ in range(20):
+                    await curio.sleep(0.05)
+                return await call_until_answered(pair.a, "b")
+
+        assert curio.run(pair.run, scenario)
+
+    def test_oversized_message_is_not_sent(self):
+        metrics = Metrics()
+
+        async def scenario():
+            limits = PeerLimits(max_message_bytes=100)
+            transport = PeerTransport(
+                "c", "127.0.0.1:0", {}, None, Clock(), metrics, limits=limits
+            )
+            sent = await transport.send("a", DrainVm("r" * 200, "vm-1", True))
+            transport._close()
+            return sent
+
+        assert not curio.run(scenario)
+        assert metrics.count_by_name["peers.too_large"] == 1
+
+    def test_peers_beyond_the_limit_are_not_connected(self):
+        async def scenario():
+            limits = PeerLimits(max_peers=1)
+            transport = PeerTransport(
+                "c", "127.0.0.1:0", {}, None, Clock(), Metrics(), limits=limits
+            )
+            found = [await transport.connect(s, "127.0.0.1:9") for s in ("a", "b")]
+            await transport.disconnect("a")
+            transport._close()
+            return found
+
+        assert curio.run(scenario) == [True, False]
