--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -212,8 +212,10 @@
         head = h11.Response(status_code=response.status, headers=header_fields)
         body = b"" if request.method == "HEAD" else response.body
         self._limiter.budget.release(self._held)
+        # A client that does not read its response may be disconnected like an idle one.
+        self._limiter.connections.set_idle(self._entry)
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
-        if self._protocol.our_state is not h11.DONE:
+        if self._closed or self._protocol.our_state is not h11.DONE:
             return False
         self._protocol.start_next_cycle()
         self._start_request()
@@ -284,6 +286,8 @@
         self._head_memory = 0
         self._reads_body = False
         self._unprocessed = len(self._protocol.trailing_data[0])
+        if self._unprocessed:
+            self._limiter.connections.set_busy(self._entry)
 
     async def _next_event(self) -> h11.Event | type:
         while True:
@@ -329,7 +333,6 @@
 
     async def _receive_first(self) -> None:
         """Waits for the first bytes of a request."""
-        self._limiter.connections.set_idle(self._entry)
         async with curio.timeout_after(IDLE_TIMEOUT_S):
             data = await self._sock.recv(READ_BYTES)
         self._limiter.connections.set_busy(self._entry)
