--- a/arbutusladder/httplimits/refusals.py
+++ b/arbutusladder/httplimits/refusals.py
@@ -72,6 +72,14 @@
         self.retry_after_s = RETRY_AFTER_S if is_shortage else 0
 
 
+def memory_shortage() -> RequestRefused:
+    """Returns the refusal of a request for which there is no memory."""
+    return RequestRefused(
+        Limit.UNFINISHED_BYTES,
+        "the server is short of memory for requests; retry after the given time",
+    )
+
+
 class RefusalLog:
     """Counts refusals, and logs them at a bounded rate.
 
--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -14,7 +14,7 @@
 from arbutusladder.httplimits.budget import HeldRequest
 from arbutusladder.httplimits.connections import OpenConnection
 from arbutusladder.httplimits.limiter import HttpLimiter, RequestLimits
-from arbutusladder.httplimits.refusals import Limit, RequestRefused
+from arbutusladder.httplimits.refusals import Limit, RequestRefused, memory_shortage
 from arbutusladder.messages import Header
 from arbutusladder.states import Outcome, Reason
 
@@ -28,7 +28,7 @@
 # limit is exceeded by one read at most.
 READ_BYTES = 16384
 DISCARD_READ_BYTES = 65536
-# Bytes of a head, chunk header or trailer without its end, beside the limit of heads.
+# Bytes of a chunk header or trailer without its end; heads have their own limit.
 MAX_INCOMPLETE_BYTES = 65536
 # Memory of a header field beside its text: a tuple and three strings of bytes.
 FIELD_BYTES = 200
@@ -78,7 +78,10 @@
         self._limiter = limiter
         self._limits: RequestLimits = limiter.request_limits
         self._protocol = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
+            h11.SERVER,
+            max_incomplete_event_size=max(
+                MAX_INCOMPLETE_BYTES, self._limits.max_head_bytes
+            ),
         )
         self._held = HeldRequest(self._give_way)
         self._entry = OpenConnection(peer.rpartition(":")[0], self._close_at_once)
@@ -114,14 +117,15 @@
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
-        self._check_head(head)
+        fields = list(head.headers)
+        self._check_head(head.target, fields)
         await self._read_body()
         body = bytes(self._body)
         self._body = bytearray()
         if body or self._held.size:
             weight = self._head_memory + self._limiter.weigh(body)
             if not self._limiter.budget.settle(self._held, weight, time.monotonic()):
-                raise _shortage()
+                raise memory_shortage()
         target = head.target.decode("latin-1")
         parts = urlsplit(target)
         return HttpRequest(
@@ -131,31 +135,32 @@
             query={name: values[-1] for name, values in parse_qs(parts.query).items()},
             headers=[
                 Header(name.decode(), value.decode("latin-1"))
-                for name, value in head.headers
+                for name, value in fields
                 if name not in HOP_BY_HOP_HEADERS_BYTES
             ],
             body=body,
             peer=self._peer,
-            host=_header_value(head, b"host").decode("latin-1"),
+            host=_field_value(fields, b"host").decode("latin-1"),
         )
 
-    def _check_head(self, head: h11.Request) -> None:
+    def _check_head(self, target: bytes, fields: list[tuple[bytes, bytes]]) -> None:
         """Refuses a head over a limit, and one that announces a body over it."""
         self._head_deadline = None
         self._reads_body = True
-        self._unprocessed = 0
-        fields = len(head.headers)
-        if fields > self._limiter.settings.head_fields:
+        if len(fields) > self._limiter.settings.head_fields:
             raise RequestRefused(
                 Limit.HEAD_FIELDS,
-                f"the head has {fields} fields; send at most "
+                f"the head has {len(fields)} fields; send at most "
                 f"{self._limiter.settings.head_fields}",
             )
-        size = len(head.target)
-        size += sum(len(name) + len(value) + 4 for name, value in head.headers)
-        self._check_head_size(size)
-        self._head_memory = size + FIELD_BYTES * fields
-        self._check_body_size(int(_header_value(head, b"content-length") or 0))
+        # Everything received so far is an upper bound, which suffices for most heads.
+        size = self._unprocessed
+        if size > self._limits.max_head_bytes:
+            size = len(target) + sum(len(n) + len(v) + 4 for n, v in fields)
+            self._check_head_size(size)
+        self._unprocessed = 0
+        self._head_memory = size + FIELD_BYTES * len(fields)
+        self._check_body_size(int(_field_value(fields, b"content-length") or 0))
 
     def _check_head_size(self, size: int) -> None:
         if size > self._limits.max_head_bytes:
@@ -178,6 +183,7 @@
         while True:
             match await self._next_event():
                 case h11.Data() as data:
+                    self._unprocessed = 0
                     self._chunks += data.chunk_start
                     if self._chunks > self._limiter.settings.chunks:
                         raise RequestRefused(
@@ -315,7 +321,8 @@
         if not self._reads_body and not self._unprocessed:
             await self._receive_first()
             return
-        self._check_head_size(self._unprocessed)
+        if not self._reads_body:
+            self._check_head_size(self._unprocessed)
         self._charge(len(self._body) + self._unprocessed)
         limit = Limit.READ_TIME if self._reads_body else Limit.HEAD_TIME
         try:
@@ -327,8 +334,7 @@
                 limit, "the request is incomplete; send the whole request in time"
             ) from error
         self._check_memory()
-        if not self._reads_body:
-            self._unprocessed += len(data)
+        self._unprocessed += len(data)
         self._protocol.receive_data(data)
 
     async def _receive_first(self) -> None:
@@ -355,11 +361,11 @@
         """Charges what this connection holds before it waits."""
         size += self._head_memory
         if size and not self._limiter.budget.charge(self._held, size, time.monotonic()):
-            raise _shortage()
+            raise memory_shortage()
 
     def _check_memory(self) -> None:
         if self._held.gave_way:
-            raise _shortage()
+            raise memory_shortage()
 
     def _give_way(self) -> None:
         """Frees the memory of the request, and ends the wait for more of it."""
@@ -380,15 +386,8 @@
             pass
 
 
-def _shortage() -> RequestRefused:
-    return RequestRefused(
-        Limit.UNFINISHED_BYTES,
-        "the server is short of memory for requests; retry after the given time",
-    )
-
-
-def _header_value(head: h11.Request, wanted: bytes) -> bytes:
-    for name, value in head.headers:
+def _field_value(fields: list[tuple[bytes, bytes]], wanted: bytes) -> bytes:
+    for name, value in fields:
         if name == wanted:
             return value
     return b""
