--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -1,5 +1,6 @@
 """One connection of the HTTP server: reads requests within limits, sends responses."""
 
+import contextlib
 import time
 from dataclasses import dataclass, field
 from urllib.parse import parse_qs, urlsplit
@@ -96,7 +97,9 @@
         self._closed = False
 
     async def __aenter__(self) -> "ServerConnection":
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Fails if the client has gone already, which the first read detects.
+        with contextlib.suppress(OSError):
+            self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return self
 
     async def __aexit__(self, *error: object) -> None:
