--- a/arbutusladder/cell/cellsettings.py
+++ b/arbutusladder/cell/cellsettings.py
@@ -4,6 +4,7 @@
 
 from arbutusladder.cell.interference.tracker import DEFAULT_HARM_S
 from arbutusladder.cell.joblimits import JobLimits
+from arbutusladder.peers import PeerLimits
 
 
 @dataclass(frozen=True)
@@ -22,6 +23,7 @@
         job_limits: Limits of the size of a job.
         harm_s: Limit on the seconds for which filler tasks may keep a serving task over
             its target.
+        peer_limits: Limits of messages between entry VMs.
     """
 
     registry_topic: str
@@ -32,3 +34,4 @@
     undersized: bool = False
     job_limits: JobLimits = JobLimits()
     harm_s: float = DEFAULT_HARM_S
+    peer_limits: PeerLimits = PeerLimits()
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -166,6 +166,7 @@
             dependencies.clock,
             dependencies.metrics,
             lambda error: log_failure(dependencies.journal, "message handler", error),
+            dependencies.settings.peer_limits,
         )
         self.appender = JobAppender(self.log, self._clock, self)
         self.log.set_forwarders(self.peers, self._forwarding_seats)
@@ -546,6 +547,7 @@
         await self.peers.send(sender, await self.log.serve_forwarded(call))
 
     async def _handle_message(self, received: ReceivedMessage) -> None:
+        sender = received.sender
         match received.message:
             case MemberHello() as hello:
                 if self._owner:
@@ -554,9 +556,7 @@
                 self._list_version = listed.version
                 await self.update_members(listed.members)
             case LogCall() as call:
-                await curio.spawn(
-                    self._serve_log_call, received.sender, call, daemon=True
-                )
+                await curio.spawn(self._serve_log_call, sender, call, daemon=True)
             case JobsRelay() as relay:
                 await self._apply_appended_jobs(
                     [KeyedRecord(r.offset, r.key, r.value) for r in relay.records],
@@ -570,15 +570,13 @@
                 self.apply_relay(relay)
                 await self.appender.confirm(state.job_id for state in relay.states)
             case AdviceCall() as call:
-                await curio.spawn(
-                    self._serve_advice_call, received.sender, call, daemon=True
-                )
+                await curio.spawn(self._serve_advice_call, sender, call, daemon=True)
             case StoreCall() as call:
                 await spawn_logged(
                     self._dependencies.journal,
                     "store call",
                     self._serve_store_call,
-                    received.sender,
+                    sender,
                     call,
                 )
             case AdviceReply() | LogReply() | StoreReply() as reply:
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -142,14 +142,13 @@
             record = decode_job(job_id, request.body, queue.terms, wall_time, team)
         except msgspec.MsgspecError as error:
             return _json_answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
+        except JobTooLarge as error:
+            return self._refuse_too_large(error)
         received_at = self._clock.now()
         try:
             outcome = await self._store(caller, queue, record, deadline)
         except JobTooLarge as error:
-            self._metrics.count("refused.job_too_large")
-            return _json_answer(
-                HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)}
-            )
+            return self._refuse_too_large(error)
         except JobExceedsCap as error:
             self._metrics.count("refused.job_exceeds_cap")
             return _json_answer(HTTPStatus.UNPROCESSABLE_ENTITY, {"error": str(error)})
@@ -240,6 +239,10 @@
             [Header("Retry-After", str(retry_s))],
         )
 
+    def _refuse_too_large(self, error: JobTooLarge) -> HttpResponse:
+        self._metrics.count("refused.job_too_large")
+        return _json_answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, {"error": str(error)})
+
     def _response_deadline(self, request: HttpRequest, queue: Queue) -> float:
         """Returns the time by which the outcome of a request must be known."""
         wait_s = queue.timeout_s
--- a/arbutusladder/platform/routes.py
+++ b/arbutusladder/platform/routes.py
@@ -10,6 +10,7 @@
 from msgspec import Meta
 
 from arbutusladder.access.callers import KeyTable
+from arbutusladder.httplimits.limiter import RequestLimits
 from arbutusladder.ids import TeamName
 from arbutusladder.messages import QueueTerms, Resources, TeamTerms
 from arbutusladder.platform.bounds import (
@@ -28,6 +29,13 @@
 MIN_WEIGHT = 1e-3
 # Longest name of a team in characters; records of the log reserve 1 KB for names.
 MAX_TEAM_NAME_LENGTH = 200
+# Limits of requests where the configuration has none, as the platform documents them.
+DEFAULT_LIMITS = RequestLimits(
+    max_body_bytes=262144,
+    max_head_bytes=16384,
+    head_timeout_s=3.0,
+    read_timeout_s=15.0,
+)
 
 
 class _Advice(msgspec.Struct, rename="kebab"):
@@ -80,12 +88,26 @@
     cap: _Cap = msgspec.field(default_factory=_Cap)
 
 
+class _Limits(msgspec.Struct, rename="kebab"):
+    """Limits of requests; 0 stands for the default.
+
+    ``header-timeout-ms`` limits the time for a head, and ``idle-timeout-ms`` the time
+    without a byte of a request.
+    """
+
+    max_header_bytes: Amount = 0
+    max_body_bytes: Amount = 0
+    header_timeout_ms: Duration = 0.0
+    idle_timeout_ms: Duration = 0.0
+
+
 class _Config(msgspec.Struct, rename="kebab"):
     """The operator's configuration; it has no teams without ``tenants``."""
 
     version: Position
     routes: list[_Route]
     tenants: list[_Tenant] | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
 
 
 @dataclass(frozen=True)
@@ -116,12 +138,14 @@
         queues_by_host: Queues of each host, longest prefix first.
         keys: Keys of the teams; None for a configuration without teams.
         terms_by_team: Terms of each team.
+        limits: Limits of requests.
     """
 
     version: int
     queues_by_host: dict[str, list[Queue]] = field(default_factory=dict)
     keys: KeyTable | None = None
     terms_by_team: dict[TeamName, TeamTerms] = field(default_factory=dict)
+    limits: RequestLimits = DEFAULT_LIMITS
 
     def find_queue(self, host: str, path: str) -> Queue | None:
         """Returns the queue with the longest matching path prefix.
@@ -154,14 +178,15 @@
         queues_by_host.setdefault(route.host, []).append(_queue_from_route(route))
     for queues in queues_by_host.values():
         queues.sort(key=lambda queue: -len(queue.path_prefix))
+    limits = _request_limits(config.limits)
     if config.tenants is None:
-        return RoutingTable(config.version, queues_by_host)
+        return RoutingTable(config.version, queues_by_host, limits=limits)
     keys = KeyTable.from_teams(
         (TeamName(row.name), [key.encode() for key in row.api_keys])
         for row in config.tenants
     )
     terms_by_team = {TeamName(row.name): _team_terms(row) for row in config.tenants}
-    return RoutingTable(config.version, queues_by_host, keys, terms_by_team)
+    return RoutingTable(config.version, queues_by_host, keys, terms_by_team, limits)
 
 
 def _team_terms(row: _Tenant) -> TeamTerms:
@@ -169,6 +194,16 @@
     return TeamTerms(TeamName(row.name), max(MIN_WEIGHT, row.weight), cap)
 
 
+def _request_limits(limits: _Limits) -> RequestLimits:
+    default = DEFAULT_LIMITS
+    return RequestLimits(
+        limits.max_body_bytes or default.max_body_bytes,
+        limits.max_header_bytes or default.max_head_bytes,
+        limits.header_timeout_ms / 1000 or default.head_timeout_s,
+        limits.idle_timeout_ms / 1000 or default.read_timeout_s,
+    )
+
+
 def _queue_from_route(route: _Route) -> Queue:
     advice = route.advice or _Advice()
     terms = QueueTerms(
