Refuse jobs that would certainly end too late to be worth anything

The owner now sends the expected wait of new jobs with its heartbeat, and an entry VM refuses by it with 503 no_room and the time at which room is expected. Refusals read the log first, since another entry VM may have stored the job.

The choice of forwarders, the keys in doubt and the conclusive outcomes move to modules of their own, so that member.py and cellstate.py get shorter.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -11,6 +11,7 @@
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceDemand
 from arbutusladder.cell.celljobs import Job, critical_path_s
+from arbutusladder.cell.forecast.durations import DurationRecord
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
     StartOrder,
@@ -77,6 +78,7 @@
             that they must not be extended.
         advice_demand: Demand of the steps with a call for advice in progress.
         changes: Changes that are not logged or stored yet.
+        durations: Actual durations of runs relative to their estimates.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         self.listed_expiring_vms: set[VmId] = set()
         self.advice_demand = AdviceDemand()
         self.changes = PendingChanges()
+        self.durations = DurationRecord()
         self._token_number_by_vm: dict[VmId, int] = {}
         self._report_processor = ReportProcessor(self)
 
@@ -567,7 +570,7 @@
             stage.key,
             index,
             vm,
-            stage.spec.need if not stage.spec.fills else _memory_only(stage),
+            stage.reserved_need,
             phase,
             now,
             from_start=phase is RunPhase.SENT,
@@ -738,9 +741,3 @@
             job.open_occurrence(name.occurrence)
         key = stage_key(name.job_id, name.occurrence, name.step)
         return self.stage(key), name.index
-
-
-def _memory_only(stage: Stage) -> Resources:
-    """Returns the requirements without cores, for tasks that use only idle cores."""
-    need = stage.spec.need
-    return Resources(0.0, need.memory_mb, need.accelerators)
--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -23,7 +23,7 @@
 from arbutusladder.cell.interfaces import OffsetDeleted, UnexpectedEndOffset
 from arbutusladder.cell.owner import HEARTBEAT_INTERVAL_S, Owner
 from arbutusladder.errors import LogUnavailable
-from arbutusladder.ids import VmId
+from arbutusladder.ids import Epoch, VmId
 from arbutusladder.messages import CellClaim, OwnerBeat
 
 if TYPE_CHECKING:
@@ -79,6 +79,11 @@
         """The newest claim read; None before the first."""
         return self._view.claim
 
+    @property
+    def newest_epoch(self) -> Epoch:
+        """Highest epoch of a claim or a heartbeat; 0 before the first."""
+        return self._view.newest_epoch
+
     @property
     def malformed(self) -> int:
         """Number of claims that could not be decoded."""
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -19,7 +19,10 @@
     OwnerStoreReply,
 )
 from arbutusladder.cell.claimmanager import ClaimManager
+from arbutusladder.cell.forecast.admissioncontrol import AdmissionControl
+from arbutusladder.cell.forwarders import select_forwarders
 from arbutusladder.cell.forwardinglog import ForwardingLog
+from arbutusladder.cell.indoubt import KeysInDoubt
 from arbutusladder.cell.interfaces import (
     Advisor,
     KeyedLog,
@@ -83,11 +86,6 @@
 HELLO_INTERVAL_S = 0.5
 # Seconds between hellos until the owner has sent the list of members.
 INITIAL_HELLO_INTERVAL_S = 0.1
-# Seconds for which an append without an answer may still take effect; the faults that
-# the bench injects delay one by up to 12 s.
-IN_DOUBT_PERIOD_S = 15.0
-# Entry VMs to which connections are kept for forwarding calls of the log.
-MAX_FORWARDING_MEMBERS = 3
 # Seconds before a read of the log is repeated after a failure.
 RETRY_DELAY_S = 0.2
 # Seconds between checks, while waiting for the next read, whether it is due at once.
@@ -108,6 +106,7 @@
             task may start on it.
         undersized: Whether this entry VM has too few resources to own a large cell.
         job_limits: Limits of the size of a job.
+        admission: Whether jobs that would end too late are refused also without teams.
     """
 
     registry_topic: str
@@ -117,6 +116,7 @@
     drain_limit_s: float = 2.0
     undersized: bool = False
     job_limits: JobLimits = JobLimits()
+    admission: bool = False
 
 
 @dataclass
@@ -145,6 +145,11 @@
     settings: CellSettings
     teams: Callable[[], TeamLimits] = TeamLimits
 
+    @property
+    def admits_by_forecast(self) -> bool:
+        """Whether jobs that would end too late are refused now."""
+        return self.settings.admission or bool(self.teams().terms_by_name)
+
 
 class Member:
     """Replicates the jobs of a cell from the log and stores new ones.
@@ -161,6 +166,7 @@
         appender: Stores submissions and cancellations.
         members: The other entry VMs, as the owner last listed them.
         claims: Watches the claim and runs the owner.
+        admission: Decides by the owner's forecast which jobs have room.
         loaded: Whether the jobs and their progress were read once.
     """
 
@@ -192,7 +198,7 @@
         self._list_version = ""
         self._owner_reaches_log = True
         self._store_call_seats: set[SeatId] = set()
-        self._in_doubt_until_by_key: dict[str, float] = {}
+        self._keys_in_doubt = KeysInDoubt()
         self._address_by_forwarding_vm: dict[VmId, str] = {}
         self._call_numbers = itertools.count(1)
         self.jobs_view = TopicView()
@@ -201,6 +207,9 @@
         self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
+        self.admission = AdmissionControl(
+            self, self.claims, self._clock, dependencies.journal, dependencies.metrics
+        )
         self.loaded = False
 
     async def run(self) -> None:
@@ -244,6 +253,7 @@
 
         Raises:
             JobTooLarge: The job exceeds a limit of `arbutusladder.cell.joblimits`.
+            NoRoom: The job would end too late to be worth anything.
         """
         if self.table.phase(record.job_id) is not None:
             return SubmissionOutcome.ACCEPTED
@@ -251,6 +261,8 @@
         limits = self._dependencies.settings.job_limits
         limits.check_submission(len(item[1]))
         limits.check_tasks(record)
+        if self._dependencies.admits_by_forecast:
+            await self.admission.check(record)
         return await self._store(item, deadline)
 
     async def cancel(self, job_id: JobId, deadline: float) -> SubmissionOutcome | None:
@@ -272,9 +284,11 @@
     async def _store(
         self, item: tuple[str, bytes], deadline: float
     ) -> SubmissionOutcome:
-        in_doubt_until = self._in_doubt_until_by_key.get(item[0], 0.0)
-        in_doubt = self._clock.now() < in_doubt_until
-        return await self.appender.store(item, deadline, in_doubt)
+        return await self.appender.store(item, deadline, self.is_in_doubt(item[0]))
+
+    def is_in_doubt(self, key: str) -> bool:
+        """Returns whether an append of a record may still take effect."""
+        return self._keys_in_doubt.contains(key, self._clock.now())
 
     async def on_in_doubt(self, keys: list[str]) -> None:
         """Announces appends that may still take effect to all entry VMs.
@@ -282,18 +296,11 @@
         Otherwise another entry VM could answer a client's retry with "not stored"
         although the job runs once the first append takes effect.
         """
-        self._mark_in_doubt(keys)
+        self._keys_in_doubt.mark(keys, self._clock.now())
         for member in self.members:
             await self.peers.connect(SeatId(member.vm), member.listen)
             await self.peers.send(SeatId(member.vm), JobsInDoubt(keys))
 
-    def _mark_in_doubt(self, keys: list[str]) -> None:
-        now = self._clock.now()
-        for key, until in list(self._in_doubt_until_by_key.items()):
-            if now > until:
-                del self._in_doubt_until_by_key[key]
-        self._in_doubt_until_by_key.update(dict.fromkeys(keys, now + IN_DOUBT_PERIOD_S))
-
     async def lookup(self, job_id: JobId) -> JobPhase | None:
         """Returns the state of a job; reads the log if the job is not known yet.
 
@@ -583,7 +590,7 @@
                     JobsSource.RELAY,
                 )
             case JobsInDoubt() as doubt:
-                self._mark_in_doubt(doubt.keys)
+                self._keys_in_doubt.mark(doubt.keys, self._clock.now())
             case EndedJobs() as ended:
                 self.table.apply_reported_ends(ended.states)
             case ProgressRelay() as relay:
@@ -607,22 +614,10 @@
                 self.appender.owner_append_s = beat.append_s
                 self._owner_reaches_log = beat.reaches_log
                 await self.claims.handle_heartbeat(beat)
+                self.admission.receive(beat.forecast, beat.epoch, self._clock.now())
 
     async def _serve_advice_call(self, sender: SeatId, call: AdviceCall) -> None:
         reply = await self._dependencies.advisor.advise(
             call.request_id, call.stage, call.workers, call.timeout_s
         )
         await self.peers.send(sender, reply)
-
-
-def select_forwarders(vm: VmId, members: list[EntryVm]) -> list[EntryVm]:
-    """Returns the entry VMs that should forward log calls of one of them.
-
-    Undersized ones come last: a forwarded read takes the bandwidth of both links. Among
-    the others, those that follow in the order of names come first, so that the calls
-    spread over them.
-    """
-    ranked = sorted(
-        members, key=lambda member: (member.undersized, member.vm < vm, member.vm)
-    )
-    return ranked[:MAX_FORWARDING_MEMBERS]
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -22,6 +22,7 @@
 from arbutusladder.cell.claims import FIRST_EPOCH
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.fencing import fencing_token
+from arbutusladder.cell.forecast.startforecast import start_forecast
 from arbutusladder.cell.freshness import ViewFreshness
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
@@ -51,6 +52,7 @@
     ProgressRelay,
     RelayedState,
     SilentWorker,
+    StartForecast,
     WorkerIncarnation,
 )
 
@@ -84,16 +86,6 @@
 # worker: the long poll of one lease renewal and its answer.
 FENCING_NOTICE_S = 1.2
 
-# Outcomes of a repeated start order that also determine the outcome of the first one.
-CONCLUSIVE_OUTCOMES = frozenset(
-    {
-        OrderOutcome.ACCEPTED,
-        OrderOutcome.FENCED,
-        OrderOutcome.OLD_RUN,
-        OrderOutcome.WORKER_REPLACED,
-    }
-)
-
 
 class Owner:
     """Schedules tasks on the workers of a cell under one epoch.
@@ -361,12 +353,20 @@
                     claim_sequence=sequence,
                     number=self.evidence.next_heartbeat(),
                     jobs_position=self._member.jobs_view.offset,
+                    forecast=self._start_forecast(now),
                 )
             )
             await self._wait_for_next_heartbeat(now + HEARTBEAT_INTERVAL_S, append_s)
             if next(heartbeats) % HEARTBEATS_PER_LOAD_EVENT == 0:
                 self._log_load()
 
+    def _start_forecast(self, now: float) -> StartForecast:
+        forecast = StartForecast()
+        if self._dependencies.admits_by_forecast and self._placer.load.waiting:
+            forecast = start_forecast(self.state, self._dependencies.teams(), now)
+        self._member.admission.receive(forecast, self.epoch, now, own=True)
+        return forecast
+
     async def _wait_for_next_heartbeat(self, due_at: float, append_s: float) -> None:
         """Waits until a heartbeat is due, or until the log has become slow.
 
@@ -644,7 +644,7 @@
         second = await self._start_once(order)
         if second.outcome is not OrderOutcome.NOT_SENT:
             self._dependencies.metrics.count("starts.repeated")
-        if second.outcome in CONCLUSIVE_OUTCOMES:
+        if second.outcome.is_conclusive:
             return replace(second, in_doubt=True)
         # This outcome of the second order does not determine the first order's, which
         # may still arrive.
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -83,6 +83,7 @@
             case EndKind.DONE:
                 if run:
                     worker.record_success(run)
+                    self._cell.durations.observe_end(stage, run, now)
                 self._cell.complete_task(stage, index)
             case EndKind.FAILED:
                 if run:
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -13,6 +13,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     FailedRun,
+    Resources,
     StageProgress,
     StepSpec,
 )
@@ -156,6 +157,14 @@
         """
         return len(self.failed_vms) >= FAILING_STEP_WORKERS
 
+    @property
+    def reserved_need(self) -> Resources:
+        """Resources reserved for a run: no cores for tasks that use only idle ones."""
+        need = self.spec.need
+        if self.spec.fills:
+            return Resources(0.0, need.memory_mb, need.accelerators)
+        return need
+
     @property
     def active_runs(self) -> list[Run]:
         """Runs that have not ended."""
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -77,6 +77,21 @@
     NOT_WANTED = "not_wanted"
     UNKNOWN = "unknown"
 
+    @property
+    def is_conclusive(self) -> bool:
+        """Whether that of a repeated start order also determines that of the first."""
+        return self in CONCLUSIVE_OUTCOMES
+
+
+CONCLUSIVE_OUTCOMES = frozenset(
+    {
+        OrderOutcome.ACCEPTED,
+        OrderOutcome.FENCED,
+        OrderOutcome.OLD_RUN,
+        OrderOutcome.WORKER_REPLACED,
+    }
+)
+
 
 class WaitCause(Enum):
     """What a step that is ready to start waits for.
@@ -93,9 +108,13 @@
 
 
 class SubmissionOutcome(Enum):
-    """Outcome of a job submission."""
+    """Outcome of a job submission.
+
+    ``NO_ROOM`` submissions were refused because the job would end too late.
+    """
 
     ACCEPTED = "accepted"
+    NO_ROOM = "no_room"
     NOT_STORED = "not_stored"
     UNKNOWN = "unknown"
 
--- a/arbutusladder/errors.py
+++ b/arbutusladder/errors.py
@@ -49,6 +49,20 @@
         )
 
 
+class NoRoom(ArbutusladderError):
+    """A job would end too late to be worth anything.
+
+    Attributes:
+        retry_after_s: Whole seconds after which room is expected.
+    """
+
+    def __init__(self, retry_after_s: int):
+        super().__init__(
+            f"no room for the job in time; submit it again after {retry_after_s} s"
+        )
+        self.retry_after_s = retry_after_s
+
+
 class HttpError(ArbutusladderError):
     """An HTTP exchange failed.
 
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -232,6 +232,13 @@
     "finished tasks would run again after a takeover",
     "cancel the job and submit the rest of its work as several smaller jobs",
 )
+JOB_WITHOUT_ROOM = Event(
+    475,
+    Level.INFO,
+    "refused job {job} of queue {queue}, priority {priority}, team {team}: expected "
+    "to wait {wait:.1f} s, worth nothing after {limit:.1f} s, by a forecast of "
+    "{age:.3f} s before; asked to return after {retry} s",
+)
 JOB_CANCEL_APPLIED = Event(
     471,
     Level.INFO,
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -5,10 +5,12 @@
 state is in the platform's log.
 
 Usage:
-    platform [--metrics=PORT/PATH]
+    platform [--metrics=PORT/PATH] [--admission]
 
 Options:
     --metrics=PORT/PATH  Port and path that serve the metrics; none by default.
+    --admission          Refuse jobs that would end too late to be worth anything, also
+                         if the configuration has no teams. With teams it is always on.
 """
 
 import signal
@@ -75,12 +77,15 @@
         settings: Settings of the entry VM.
         metrics: Port and path that serve the metrics, such as ``9464/metrics``;
             empty for none.
+        admission: Whether jobs that would end too late are refused also without teams.
 
     Attributes:
         exit_code: Exit code of the process after `run`.
     """
 
-    def __init__(self, settings: EntrySettings, metrics: str = ""):
+    def __init__(
+        self, settings: EntrySettings, metrics: str = "", admission: bool = False
+    ):
         self._settings = settings
         self._clock = Clock()
         self._journal = Journal(settings.vm)
@@ -103,6 +108,7 @@
                 settings.drain_limit_s,
                 settings.undersized,
                 JobLimits(settings.record_bytes),
+                admission,
             ),
         )
         self._member = Member(VmId(settings.vm), settings.peer, dependencies)
@@ -252,7 +258,9 @@
     """Runs the daemon until SIGTERM or SIGINT."""
     options = docopt(__doc__)
     configure("info", NonBlockingLogOutput(sys.stdout.fileno()))
-    daemon = EntryDaemon(load_settings(), options["--metrics"] or "")
+    daemon = EntryDaemon(
+        load_settings(), options["--metrics"] or "", options["--admission"]
+    )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.request_stop())
     signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -15,7 +15,7 @@
 from arbutusladder.cell.member import Member
 from arbutusladder.cell.states import SubmissionOutcome
 from arbutusladder.clock import Clock
-from arbutusladder.errors import JobTooLarge, LogUnavailable
+from arbutusladder.errors import JobTooLarge, LogUnavailable, NoRoom
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.ids import JobId
@@ -108,8 +108,11 @@
         except msgspec.MsgspecError as error:
             return _json_answer(HTTPStatus.BAD_REQUEST, {"error": str(error)})
         received_at = self._clock.now()
+        retry_s = retry_after_s(record)
         try:
             outcome = await self._member.submit(record, deadline)
+        except NoRoom as error:
+            outcome, retry_s = SubmissionOutcome.NO_ROOM, error.retry_after_s
         except JobTooLarge as error:
             self._metrics.count("refused.job_too_large")
             return _json_answer(
@@ -123,7 +126,7 @@
             outcome=outcome.value,
             seconds=self._clock.now() - received_at,
         )
-        return self._answer_for_outcome(outcome, retry_after_s(record))
+        return self._answer_for_outcome(outcome, retry_s)
 
     async def _get_state(self, job_id: JobId) -> HttpResponse:
         try:
@@ -157,6 +160,8 @@
         match outcome:
             case SubmissionOutcome.ACCEPTED:
                 return _json_answer(HTTPStatus.OK, {})
+            case SubmissionOutcome.NO_ROOM:
+                return self._refuse("no_room", retry_s)
             case SubmissionOutcome.NOT_STORED:
                 return self._refuse("not_stored", retry_s)
             case SubmissionOutcome.UNKNOWN:
--- a/tests/cell/test_member.py
+++ b/tests/cell/test_member.py
@@ -1,6 +1,6 @@
 """Tests of an entry VM's choice of others that forward its log calls."""
 
-from arbutusladder.cell.member import MAX_FORWARDING_MEMBERS, select_forwarders
+from arbutusladder.cell.forwarders import MAX_FORWARDING_MEMBERS, select_forwarders
 from arbutusladder.messages import EntryVm
 
 
