Forecast: gangs start as a whole, and more objectives are followed

With 3 of 24 workers left a gang larger than the cell started in parts in the forecast and blocked the pool for 47 s, so that audits were refused that started after 7 s. Gangs now start as a whole or are passed, and the shortest, median and longest objective of a queue are followed. The forecast also sees full workers without a backlog.

--- a/arbutusladder/cell/appender.py
+++ b/arbutusladder/cell/appender.py
@@ -174,6 +174,10 @@
         """Returns the age of the append in flight in seconds; 0 without one."""
         return now - (self._append_started_at or now)
 
+    def is_storing(self, key: str) -> bool:
+        """Returns whether a caller waits for an item of a key."""
+        return key in self._waiting_by_key
+
     async def store(
         self,
         item: tuple[str, bytes],
--- a/arbutusladder/cell/forecast/admissioncontrol.py
+++ b/arbutusladder/cell/forecast/admissioncontrol.py
@@ -34,7 +34,7 @@
         """Returns the state of a job; reads the log if the job is not known yet."""
 
     def is_in_doubt(self, key: str) -> bool:
-        """Returns whether an append of a record may still take effect."""
+        """Returns whether an append of a record may be in progress or take effect."""
 
 
 class KnownOwner(Protocol):
--- a/arbutusladder/cell/forecast/cellload.py
+++ b/arbutusladder/cell/forecast/cellload.py
@@ -10,7 +10,7 @@
 from arbutusladder.cell.forecast.drain import HORIZON_S, NOTHING, Amounts, Group
 from arbutusladder.cell.speed import extrapolated_duration_s
 from arbutusladder.cell.steppriority import URGENT_PRIORITY, Timeliness, timeliness
-from arbutusladder.ids import TeamName
+from arbutusladder.ids import TeamName, VmId
 
 if TYPE_CHECKING:
     from arbutusladder.cell.celljobs import Job
@@ -24,6 +24,8 @@
 # Expected rest of a run that has exceeded its expected duration, as a share of the time
 # that it has taken.
 OVERDUE_SHARE = 0.2
+# Share of a resource below which the free rest of it counts as none.
+FULL_SHARE = 0.1
 # Seconds to which the limits of waiting tasks are rounded to join them in groups, so
 # that the cost does not grow with the length of the backlog.
 GROUPING_S = 1.0
@@ -32,7 +34,8 @@
 class GroupKey(NamedTuple):
     """What waiting tasks have in common that start in one place of the order.
 
-    Tasks that need accelerators are apart: the others do not wait for these.
+    Tasks that need accelerators are apart: the others do not wait for these. A gang,
+    named by its step, is apart from all others, since its tasks start together.
     """
 
     priority: int
@@ -41,6 +44,7 @@
     objective_s: float = math.inf
     in_time_s: float = math.inf
     credit_s: float = math.inf
+    gang: str = ""
 
 
 class Release(NamedTuple):
@@ -90,6 +94,7 @@
             key.credit_s,
             key.priority <= URGENT_PRIORITY,
             is_probe,
+            bool(key.gang),
         )
 
 
@@ -105,27 +110,33 @@
     """What runs and what waits on the workers of a service.
 
     Attributes:
-        capacity: Resources of the workers that accept tasks.
+        vms: Workers that accept tasks.
+        capacity: Resources of these workers.
         free: Free ones of these.
         releases: Expected ends of the runs on them.
         used_by_team: Resources of the runs of each team.
         waiting_by_key: Waiting tasks by their place in the order.
         tasks_by_kind: Tasks of all open jobs by priority and by whether they need
             accelerators.
-        terms_by_priority: Shortest and longest objective of the open jobs of each
-            priority. Until it is late, a job with the shortest one waits for the least
-            work; one with the longest is the last to become late.
+        terms_by_priority: Objectives of the open jobs of each priority.
     """
 
+    vms: set[VmId] = field(default_factory=set)
     capacity: Amounts = NOTHING
     free: Amounts = NOTHING
     releases: list[Release] = field(default_factory=list)
     used_by_team: dict[TeamName, Amounts] = field(default_factory=dict)
     waiting_by_key: dict[GroupKey, TaskTotals] = field(default_factory=dict)
     tasks_by_kind: dict[tuple[int, bool], TaskTotals] = field(default_factory=dict)
-    terms_by_priority: dict[int, tuple[JobTerms, JobTerms]] = field(
-        default_factory=dict
-    )
+    terms_by_priority: dict[int, list[JobTerms]] = field(default_factory=dict)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether little of any resource is free, so that new jobs may wait."""
+        return any(
+            free < FULL_SHARE * whole
+            for free, whole in zip(self.free, self.capacity, strict=True)
+        )
 
     def held_share(self, priority: int) -> float:
         """Returns the share of the scarcest resource that more urgent work holds."""
@@ -140,23 +151,35 @@
     return max((part / whole for part, whole in pairs if whole > 0), default=0.0)
 
 
-def loads_by_service(cell: CellState, now: float) -> dict[str, ServiceLoad]:
-    """Returns the load of each service with workers.
+def empty_loads(cell: CellState, now: float) -> dict[str, ServiceLoad]:
+    """Returns the resources of each service with workers, without its jobs.
 
     Args:
         cell: State of the cell.
         now: Monotonic time in seconds.
     """
     load_by_service: dict[str, ServiceLoad] = {}
-    open_vms = set()
     for vm, worker in cell.worker_by_vm.items():
         entry = worker.entry
         if not worker.registered or entry.draining or not worker.is_responsive(now):
             continue
-        open_vms.add(vm)
         load = load_by_service.setdefault(entry.service, ServiceLoad())
+        load.vms.add(vm)
         load.capacity = _plus(load.capacity, entry.capacity)
         load.free = _plus(load.free, worker.free)
+    return load_by_service
+
+
+def add_jobs(
+    load_by_service: dict[str, ServiceLoad], cell: CellState, now: float
+) -> None:
+    """Adds what runs and what waits.
+
+    Args:
+        load_by_service: Resources of each service.
+        cell: State of the cell.
+        now: Monotonic time in seconds.
+    """
     for job in cell.job_by_id.values():
         load = load_by_service.get(job.record.queue.service)
         if load is None or job.phase.is_final or cell.is_blocked(job):
@@ -164,9 +187,8 @@
         ratio = cell.durations.ratio(job.record.queue.name, now)
         _add_terms(load, job)
         for stage in job.stage_by_key.values():
-            _add_runs(load, stage, ratio, open_vms, now)
+            _add_runs(load, stage, ratio, now)
             _add_waiting(load, stage, ratio, now)
-    return load_by_service
 
 
 def _plus(amounts: Amounts, need: Resources) -> Amounts:
@@ -181,19 +203,16 @@
     priority = job.record.queue.priority
     path_s = max(job.remaining_s_by_step, default=0.0)
     terms = JobTerms(job.objective_at - job.accepted_at, path_s)
-    shortest, longest = load.terms_by_priority.get(priority, (terms, terms))
-    load.terms_by_priority[priority] = min(shortest, terms), max(longest, terms)
+    load.terms_by_priority.setdefault(priority, []).append(terms)
 
 
-def _add_runs(
-    load: ServiceLoad, stage: Stage, ratio: float, open_vms: set, now: float
-) -> None:
+def _add_runs(load: ServiceLoad, stage: Stage, ratio: float, now: float) -> None:
     queue, team = stage.job.record.queue, stage.job.record.team
     for task in stage.tasks:
         for run in task.runs:
             used = load.used_by_team.get(team, NOTHING)
             load.used_by_team[team] = _plus(used, run.need)
-            if run.vm in open_vms and not run.lasting:
+            if run.vm in load.vms and not run.lasting:
                 seconds = _remaining_s(run, stage.spec.estimate_s * ratio, now)
                 amounts = _plus(NOTHING, run.need)
                 load.releases.append(Release(seconds, amounts, queue.priority, team))
@@ -225,7 +244,8 @@
     tasks = len(stage.waiting_tasks())
     if not tasks or timeliness(job, stage, now) is Timeliness.TOO_LATE:
         return
-    key = GroupKey(queue.priority, job.record.team, kind[1])
+    gang = stage.key if stage.spec.gang else ""
+    key = GroupKey(queue.priority, job.record.team, kind[1], gang=gang)
     if not job.is_long_running and not job.record.times:
         objective_s = job.objective_at - now
         allowed_s = job.objective_at - job.accepted_at
--- a/arbutusladder/cell/forecast/drain.py
+++ b/arbutusladder/cell/forecast/drain.py
@@ -1,9 +1,9 @@
 """Simulation of how a backlog starts in a pool of resources.
 
 The pool is the sum of the resources of all workers, so that the result is optimistic:
-it ignores that free resources are spread over workers and that the members of a gang
-start together. The order is that of `arbutusladder.cell.steppriority`, which changes
-as work becomes late.
+it ignores that free resources are spread over workers, and that a gang that waits keeps
+some of them from others. The order is that of `arbutusladder.cell.steppriority`, which
+changes as work becomes late.
 """
 
 import math
@@ -40,6 +40,7 @@
         credit_s: Seconds for which they can still start so that their job earns credit.
         urgent: Whether they may use the cores that are reserved for urgent tasks.
         is_probe: Whether it stands for a new job, whose wait is wanted.
+        is_gang: Whether all its tasks start together or none.
     """
 
     amounts: Amounts
@@ -50,6 +51,7 @@
     credit_s: float = math.inf
     urgent: bool = False
     is_probe: bool = False
+    is_gang: bool = False
 
     def timeliness(self, seconds: float) -> Timeliness:
         """Returns its timeliness if it starts after a number of seconds."""
@@ -98,7 +100,7 @@
             if left is None or free[0] - reserved < MIN_FREE_CPU:
                 continue
             share = min(left, _startable_share(group, free, reserved))
-            if share <= 0.0:
+            if share <= 0.0 or (group.is_gang and share < left):
                 continue
             started = _scaled(group.amounts, share)
             free = _sum(free, _scaled(started, -1.0))
--- a/arbutusladder/cell/forecast/startforecast.py
+++ b/arbutusladder/cell/forecast/startforecast.py
@@ -1,9 +1,10 @@
 """The owner's forecast of when new jobs start.
 
-It is a pure function of the cell's state. For each priority it follows two new jobs,
-with the shortest and the longest objective of their kind, through a simulation of the
-backlog in the order of `arbutusladder.cell.steppriority`; the one that starts first
-counts. Work that is too late yields, so it does not count.
+It is a pure function of the cell's state. For each priority it follows some new jobs
+with different objectives through a simulation of the backlog in the order of
+`arbutusladder.cell.steppriority`; the one that starts first counts. Before it is late,
+a job with a short objective waits for less work; one with a long objective becomes late
+last. Work that is too late yields, so it does not count.
 """
 
 from __future__ import annotations
@@ -17,9 +18,11 @@
 from arbutusladder.cell.celljobs import LATE_OBJECTIVE_FACTOR
 from arbutusladder.cell.forecast.cellload import (
     GroupKey,
+    JobTerms,
     ServiceLoad,
+    add_jobs,
     dominant_share,
-    loads_by_service,
+    empty_loads,
 )
 from arbutusladder.cell.forecast.drain import NOTHING, Amounts, start_waits_s
 from arbutusladder.cell.interfaces import TeamLimits
@@ -40,10 +43,15 @@
 # of it may end before the wait does.
 MAX_HELD_SHARE = 0.5
 
+# New jobs of a priority whose start is simulated.
+PROBES = 3
+
 _ENCODER = msgspec.msgpack.Encoder()
 
 
-def start_forecast(cell: CellState, teams: TeamLimits, now: float) -> StartForecast:
+def start_forecast(
+    cell: CellState, teams: TeamLimits, has_waiting: bool, now: float
+) -> StartForecast:
     """Returns the expected waits of new jobs, without those that are short.
 
     A forecast is empty until all workers have reported after a takeover: their free
@@ -52,13 +60,17 @@
     Args:
         cell: State of the cell.
         teams: Weights and caps of the teams.
+        has_waiting: Whether any step waits to start.
         now: Monotonic time in seconds.
     """
     rows: list[StartWait] = []
-    if cell.unreported.vms:
+    load_by_service = empty_loads(cell, now)
+    is_full = any(load.is_full for load in load_by_service.values())
+    if cell.unreported.vms or not (has_waiting or is_full):
         return StartForecast()
-    for service, load in loads_by_service(cell, now).items():
-        if load.waiting_by_key:
+    add_jobs(load_by_service, cell, now)
+    for service, load in load_by_service.items():
+        if load.waiting_by_key or load.is_full:
             rows += _rows_of_service(service, load, teams.terms_by_name)
     return _limited(rows)
 
@@ -119,7 +131,7 @@
     """
     groups = [load.waiting_by_key[key].group(key) for key in keys]
     for (priority, uses_accelerators), totals in load.tasks_by_kind.items():
-        for objective_s, path_s in load.terms_by_priority[priority]:
+        for objective_s, path_s in _samples(load.terms_by_priority[priority]):
             key = GroupKey(
                 priority,
                 team,
@@ -149,6 +161,14 @@
     return shortest
 
 
+def _samples(terms: list[JobTerms]) -> list[JobTerms]:
+    """Returns jobs from the shortest to the longest objective, evenly chosen."""
+    ordered = sorted(terms)
+    last = len(ordered) - 1
+    indexes = {round(last * n / (PROBES - 1)) for n in range(PROBES)}
+    return [ordered[index] for index in sorted(indexes)]
+
+
 def _waits_by_team(
     load: ServiceLoad, terms_by_team: dict[TeamName, TeamTerms], is_contended: bool
 ) -> Iterator[tuple[TeamName, dict[int, float]]]:
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -284,11 +284,13 @@
     async def _store(
         self, item: tuple[str, bytes], deadline: float
     ) -> SubmissionOutcome:
-        return await self.appender.store(item, deadline, self.is_in_doubt(item[0]))
+        in_doubt = self._keys_in_doubt.contains(item[0], self._clock.now())
+        return await self.appender.store(item, deadline, in_doubt)
 
     def is_in_doubt(self, key: str) -> bool:
-        """Returns whether an append of a record may still take effect."""
-        return self._keys_in_doubt.contains(key, self._clock.now())
+        """Returns whether an append of a record may be in progress or take effect."""
+        in_doubt = self._keys_in_doubt.contains(key, self._clock.now())
+        return in_doubt or self.appender.is_storing(key)
 
     async def on_in_doubt(self, keys: list[str]) -> None:
         """Announces appends that may still take effect to all entry VMs.
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -62,8 +62,7 @@
 # Length of a worker's lease in seconds, unless workers only grant shorter ones. Long
 # enough for a successor to renew it after the owner was killed.
 TARGET_LEASE_S = 5.0
-# Seconds between heartbeats to the other entry VMs, which detect a failed owner by
-# them.
+# Seconds between heartbeats, by which the other entry VMs detect a failed owner.
 HEARTBEAT_INTERVAL_S = 0.25
 # Seconds between checks, while waiting for the next heartbeat, whether the log has
 # become slow.
@@ -361,9 +360,10 @@
                 self._log_load()
 
     def _start_forecast(self, now: float) -> StartForecast:
-        forecast = StartForecast()
-        if self._dependencies.admits_by_forecast and self._placer.load.waiting:
-            forecast = start_forecast(self.state, self._dependencies.teams(), now)
+        if not self._dependencies.admits_by_forecast:
+            return StartForecast()
+        teams, waiting = self._dependencies.teams(), self._placer.load.waiting
+        forecast = start_forecast(self.state, teams, waiting > 0, now)
         self._member.admission.receive(forecast, self.epoch, now, own=True)
         return forecast
 
--- a/arbutusladder/cell/simulatedclients.py
+++ b/arbutusladder/cell/simulatedclients.py
@@ -96,8 +96,10 @@
         self.simulation.state.cancel(job_id)
 
     def _beat(self) -> None:
+        simulation = self.simulation
+        has_waiting = simulation.placer.load.waiting > 0
         forecast = start_forecast(
-            self.simulation.state, self.teams, self.simulation.now
+            simulation.state, self.teams, has_waiting, simulation.now
         )
         if forecast.rows:
             self.forecasts.append((self.now, forecast))
