--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -7,6 +7,7 @@
 
 from arbutusladder.cell.joblimits import JobLimits
 from arbutusladder.clock import ManualClock
+from arbutusladder.errors import NoRoom
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.clientapi import RESPONSE_MARGIN_S, ClientApi
 from tests.cell import workloads
@@ -65,3 +66,33 @@
 
     async def _submit(self, record, deadline):
         JobLimits().check_tasks(record)
+
+
+class TestNoRoom:
+    """Pattern: a job would end too late to be worth anything."""
+
+    def test_it_is_refused_with_the_time_of_room(self):
+        """Guards against a Retry-After from the objective instead of the forecast."""
+        clock, metrics = ManualClock(), Metrics()
+        queue = SimpleNamespace(
+            path_prefix="/q/", timeout_s=QUEUE_TIMEOUT_S, terms=workloads.AUDITS
+        )
+        table = SimpleNamespace(find_queue=lambda host, path: queue)
+        journal = SimpleNamespace(write=lambda event, **fields: None)
+        member = SimpleNamespace(submit=self._submit)
+        api = ClientApi(member, lambda: table, clock, journal, metrics)
+        request = SimpleNamespace(
+            method="POST",
+            host="q.example",
+            path=f"/q/{workloads.job_id(1)}",
+            body=b'{"spec":"s","steps":[{"count":1,"cpu":100}]}',
+            header=lambda name: "",
+        )
+        answer = curio.run(api.handle, request)
+        assert (answer.status, answer.body) == (503, b'{"error":"no_room"}')
+        retry = [h.value for h in answer.headers if h.name == "Retry-After"]
+        assert retry == ["47"]
+        assert metrics.count_by_name["refused.no_room"] == 1
+
+    async def _submit(self, record, deadline):
+        raise NoRoom(47)
