Forecast: what a team wants beyond its cap or share precedes nobody's work

The backlog of a team at its cap counted as work ahead of all others, so that a flooding team would have had quiet teams refused. Reads of the log before a refusal start at most every 0.2 s on an entry VM, so that a surge of refusals does not load the log.

--- a/arbutusladder/cell/forecast/admissioncontrol.py
+++ b/arbutusladder/cell/forecast/admissioncontrol.py
@@ -22,7 +22,10 @@
 
 # Longest time in seconds for the read that shows whether a job is stored already. A job
 # is accepted if it takes longer, since nobody waits for a refusal.
-MAX_LOOKUP_S = 0.5
+MAX_LOOKUP_S = 0.7
+# Seconds between the starts of such reads, which serve all jobs that came meanwhile.
+# Otherwise refusals in a surge would make every entry VM read without a pause.
+LOOKUP_INTERVAL_S = 0.2
 
 
 class KnownJobs(Protocol):
@@ -138,6 +141,7 @@
 
     async def _is_new(self, job_id: JobId) -> bool:
         """Returns whether the log shows that a job was not stored until now."""
+        await curio.sleep(LOOKUP_INTERVAL_S - self._clock.now() % LOOKUP_INTERVAL_S)
         try:
             return await self._jobs.lookup(job_id) is None
         except LogUnavailable:
--- a/arbutusladder/cell/forecast/cellload.py
+++ b/arbutusladder/cell/forecast/cellload.py
@@ -138,6 +138,14 @@
             for free, whole in zip(self.free, self.capacity, strict=True)
         )
 
+    def waiting_amounts(self, team: TeamName) -> Amounts:
+        """Returns the resources that the waiting tasks of a team need."""
+        total = NOTHING
+        for key, totals in self.waiting_by_key.items():
+            if key.team == team:
+                total = added(total, totals.amounts)
+        return total
+
     def held_share(self, priority: int) -> float:
         """Returns the share of the scarcest resource that more urgent work holds."""
         rows = [row.amounts for row in self.releases if row.priority < priority]
@@ -145,6 +153,11 @@
         return dominant_share(held, self.capacity) if rows else 0.0
 
 
+def added(left: Amounts, right: Amounts) -> Amounts:
+    """Returns the sum of two amounts."""
+    return (left[0] + right[0], left[1] + right[1], left[2] + right[2])
+
+
 def dominant_share(amounts: Amounts, total: Amounts) -> float:
     """Returns the largest fraction of any resource of a total that amounts take."""
     pairs = zip(amounts, total, strict=True)
--- a/arbutusladder/cell/forecast/durations.py
+++ b/arbutusladder/cell/forecast/durations.py
@@ -50,8 +50,8 @@
             run: The run.
             now: Monotonic time in seconds.
         """
-        resumable = stage.tasks[run.index].checkpoint
-        if not run.from_start or stage.spec.lasting or resumable:
+        may_have_resumed = run.number > 1 and stage.tasks[run.index].checkpoint
+        if not run.from_start or stage.spec.lasting or may_have_resumed:
             return
         self.observe(
             stage.job.record.queue.name,
--- a/arbutusladder/cell/forecast/startforecast.py
+++ b/arbutusladder/cell/forecast/startforecast.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterator
 from typing import TYPE_CHECKING
 
@@ -21,10 +20,10 @@
     JobTerms,
     ServiceLoad,
     add_jobs,
-    dominant_share,
     empty_loads,
 )
 from arbutusladder.cell.forecast.drain import NOTHING, Amounts, start_waits_s
+from arbutusladder.cell.forecast.teamlimits import TeamLimit, exceeded_limits
 from arbutusladder.cell.interfaces import TeamLimits
 from arbutusladder.cell.placement import URGENT_RESERVE
 from arbutusladder.ids import TeamName
@@ -43,6 +42,9 @@
 # of it may end before the wait does.
 MAX_HELD_SHARE = 0.5
 
+# Teams for which waits are computed, so that the cost has a bound; the others count as
+# having room.
+MAX_TEAMS = 8
 # New jobs of a priority whose start is simulated.
 PROBES = 3
 
@@ -78,16 +80,19 @@
 def _rows_of_service(
     service: str, load: ServiceLoad, terms_by_team: dict[TeamName, TeamTerms]
 ) -> list[StartWait]:
+    limits_by_team = exceeded_limits(load, terms_by_team)
+    # What a team wants beyond its cap or share does not precede work of others.
+    preceding = [key for key in load.waiting_by_key if key.team not in limits_by_team]
     wait_by_priority = {
         priority: _with_arrivals(load, priority, wait_s)
-        for priority, wait_s in _probe_waits(load, list(load.waiting_by_key)).items()
+        for priority, wait_s in _probe_waits(load, preceding).items()
     }
     rows = [
         StartWait(service, priority, round(wait_s, 1))
         for priority, wait_s in wait_by_priority.items()
         if wait_s >= MIN_WAIT_S
     ]
-    for team, waits in _waits_by_team(load, terms_by_team, bool(rows)):
+    for team, waits in _waits_by_team(load, limits_by_team):
         rows += [
             StartWait(service, priority, round(wait_s, 1), team)
             for priority, wait_s in waits.items()
@@ -170,33 +175,23 @@
 
 
 def _waits_by_team(
-    load: ServiceLoad, terms_by_team: dict[TeamName, TeamTerms], is_contended: bool
+    load: ServiceLoad, limits_by_team: dict[TeamName, TeamLimit]
 ) -> Iterator[tuple[TeamName, dict[int, float]]]:
-    """Yields the waits by priority of the teams for their own cap or share.
+    """Yields the waits by priority of the teams that want most beyond a limit.
 
-    Args:
-        load: Load of the service.
-        terms_by_team: Weights and caps of the teams.
-        is_contended: Whether teams wait for each other, so that shares count.
+    Beyond its share a team gets what others leave, so it waits at most for all waiting
+    work.
     """
-    waiting = {key.team for key in load.waiting_by_key} & terms_by_team.keys()
-    running = {release.team for release in load.releases} & terms_by_team.keys()
-    total_weight = sum(terms_by_team[team].weight for team in waiting | running)
-    behind_all: dict[int, float] = {}
-    for team in sorted(waiting):
-        terms = terms_by_team[team]
-        waits = _waits_within(load, team, _cap(terms))
-        fraction = terms.weight / total_weight if total_weight else 1.0
-        used = load.used_by_team.get(team, NOTHING)
-        if is_contended and dominant_share(used, load.capacity) > fraction:
-            # Beyond its share it gets what the other teams leave.
-            behind_all = behind_all or _probe_waits(
-                load, list(load.waiting_by_key), goes_last=True
-            )
-            share = tuple(fraction * amount for amount in load.capacity)
-            for priority, wait_s in _waits_within(load, team, share).items():
-                wait_s = min(wait_s, behind_all[priority])
-                waits[priority] = max(waits.get(priority, 0.0), wait_s)
+    if not limits_by_team:
+        return
+    behind_all = _probe_waits(load, list(load.waiting_by_key), goes_last=True)
+    largest = sorted(limits_by_team, key=lambda team: -limits_by_team[team].demand)
+    for team in largest[:MAX_TEAMS]:
+        limit = limits_by_team[team]
+        waits = _waits_within(load, team, limit.cap)
+        for priority, wait_s in _waits_within(load, team, limit.share).items():
+            wait_s = min(wait_s, behind_all[priority])
+            waits[priority] = max(waits.get(priority, 0.0), wait_s)
         yield team, waits
 
 
@@ -209,15 +204,8 @@
     """
     used = load.used_by_team.get(team, NOTHING)
     free = tuple(amount - part for amount, part in zip(limit, used, strict=True))
-    keys = [key for key in load.waiting_by_key if key.team == team]
-    waiting = [load.waiting_by_key[key].amounts for key in keys]
-    wanted = [sum(column) for column in zip(*waiting, strict=True)]
+    wanted = load.waiting_amounts(team)
     if all(part <= room for part, room in zip(wanted, free, strict=True)):
         return {}
+    keys = [key for key in load.waiting_by_key if key.team == team]
     return _probe_waits(load, keys, team, free)
-
-
-def _cap(terms: TeamTerms) -> Amounts:
-    """Returns the cap of a team; infinite where it has none."""
-    caps = (terms.cap.cpu, terms.cap.memory_mb, float(terms.cap.accelerators))
-    return tuple(cap or math.inf for cap in caps)
