--- a/arbutusladder/cell/cellsettings.py
+++ b/arbutusladder/cell/cellsettings.py
@@ -24,6 +24,7 @@
         harm_s: Limit on the seconds for which filler tasks may keep a serving task over
             its target.
         peer_limits: Limits of messages between entry VMs.
+        admission: Whether jobs that would end too late are refused also without teams.
     """
 
     registry_topic: str
@@ -35,3 +36,4 @@
     job_limits: JobLimits = JobLimits()
     harm_s: float = DEFAULT_HARM_S
     peer_limits: PeerLimits = PeerLimits()
+    admission: bool = False
--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -84,6 +84,11 @@
         claim = self.current
         return claim.sequence if claim and claim.epoch == epoch else -1
 
+    @property
+    def newest_epoch(self) -> Epoch:
+        """Highest epoch of a claim or a heartbeat; 0 before the first."""
+        return self._view.newest_epoch
+
     @property
     def malformed(self) -> int:
         """Number of claims that could not be decoded."""
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -20,6 +20,7 @@
 )
 from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.claimmanager import ClaimManager
+from arbutusladder.cell.forecast.admissioncontrol import AdmissionControl
 from arbutusladder.cell.forwardinglog import ForwardingLog
 from arbutusladder.cell.indoubt import InDoubtKeys
 from arbutusladder.cell.interfaces import (
@@ -126,6 +127,11 @@
     config_version: Callable[[], int] = int
     on_config_version: Callable[[int], Awaitable[None]] = ignore_config_version
 
+    @property
+    def admits_by_forecast(self) -> bool:
+        """Whether jobs that would end too late are refused now."""
+        return self.settings.admission or bool(self.teams().terms_by_name)
+
 
 class Member:
     """Replicates the jobs of a cell from the log and stores new ones.
@@ -142,6 +148,7 @@
         appender: Stores submissions and cancellations.
         members: The other entry VMs, as the owner last listed them.
         claims: Watches the claim and runs the owner.
+        admission: Decides by the owner's forecast which jobs have room.
         loaded: Whether the jobs and their progress were read once.
     """
 
@@ -183,6 +190,9 @@
         self._shared_jobs_read = SharedRead(self._read_jobs, LogUnavailable)
         self._progress_position = ProgressPosition()
         self.claims = ClaimManager(self, dependencies)
+        self.admission = AdmissionControl(
+            self, self.claims, self._clock, dependencies.journal, dependencies.metrics
+        )
         self.loaded = False
 
     async def run(self) -> None:
@@ -227,6 +237,7 @@
         Raises:
             JobTooLarge: The job exceeds a limit of `arbutusladder.cell.joblimits`.
             JobExceedsCap: A step can never run below the cap of its team.
+            NoRoom: The job would end too late to be worth anything.
         """
         if self.table.phase(record.job_id) is not None:
             return SubmissionOutcome.ACCEPTED
@@ -236,6 +247,8 @@
         limits.check_tasks(record)
         if not self._in_doubt.contains(item[0], self._clock.now()):
             check_caps(record, self._dependencies.teams())
+        if self._dependencies.admits_by_forecast:
+            await self.admission.check(record)
         return await self._store(item, deadline)
 
     async def cancel(self, job_id: JobId, deadline: float) -> SubmissionOutcome | None:
@@ -257,12 +270,13 @@
     async def _store(
         self, item: tuple[str, bytes], deadline: float
     ) -> SubmissionOutcome:
-        in_doubt = self.is_in_doubt(item[0])
+        in_doubt = self._in_doubt.contains(item[0], self._clock.now())
         return await self.appender.store(item, deadline, in_doubt)
 
     def is_in_doubt(self, key: str) -> bool:
-        """Returns whether an append of a key may still take effect."""
-        return self._in_doubt.contains(key, self._clock.now())
+        """Returns whether an append of a key may be in progress or take effect."""
+        in_doubt = self._in_doubt.contains(key, self._clock.now())
+        return in_doubt or self.appender.is_storing(key)
 
     async def on_in_doubt(self, keys: list[str]) -> None:
         """Announces appends that may still take effect to all entry VMs.
@@ -586,6 +600,7 @@
                 self._owner_reaches_log = beat.reaches_log
                 await self._dependencies.on_config_version(beat.config_version)
                 await self.claims.handle_heartbeat(beat)
+                self.admission.receive(beat.forecast, beat.epoch, self._clock.now())
 
     async def _serve_advice_call(self, sender: SeatId, call: AdviceCall) -> None:
         reply = await self._dependencies.advisor.advise(
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -22,6 +22,7 @@
 from arbutusladder.cell.claims import FIRST_EPOCH
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.fencing import fencing_token
+from arbutusladder.cell.forecast.startforecast import start_forecast
 from arbutusladder.cell.freshness import ViewFreshness
 from arbutusladder.cell.interfaces import (
     AdviceOrder,
@@ -53,6 +54,7 @@
     ProgressRelay,
     RelayedState,
     SilentWorker,
+    StartForecast,
     WorkerIncarnation,
 )
 
@@ -62,8 +64,7 @@
 # Length of a worker's lease in seconds, unless workers only grant shorter ones. Long
 # enough for a successor to renew it after the owner was killed.
 TARGET_LEASE_S = 5.0
-# Seconds between heartbeats to the other entry VMs, which detect a failed owner by
-# them.
+# Seconds between heartbeats, by which the other entry VMs detect a failed owner.
 HEARTBEAT_INTERVAL_S = 0.25
 # Seconds between checks, while waiting for the next heartbeat, whether the log has
 # become slow.
@@ -86,16 +87,6 @@
 # worker: the long poll of one lease renewal and its answer.
 FENCING_NOTICE_S = 1.2
 
-# Outcomes of a repeated start order that also determine the outcome of the first one.
-CONCLUSIVE_OUTCOMES = frozenset(
-    {
-        OrderOutcome.ACCEPTED,
-        OrderOutcome.FENCED,
-        OrderOutcome.OLD_RUN,
-        OrderOutcome.WORKER_REPLACED,
-    }
-)
-
 
 class Owner:
     """Schedules tasks on the workers of a cell under one epoch.
@@ -366,12 +357,21 @@
                     number=self.evidence.next_heartbeat(),
                     jobs_position=self._member.jobs_view.offset,
                     config_version=self._dependencies.config_version(),
+                    forecast=self._start_forecast(now),
                 )
             )
             await self._wait_for_next_heartbeat(now + HEARTBEAT_INTERVAL_S, append_s)
             if next(heartbeats) % HEARTBEATS_PER_LOAD_EVENT == 0:
                 self._log_load()
 
+    def _start_forecast(self, now: float) -> StartForecast:
+        if not self._dependencies.admits_by_forecast:
+            return StartForecast()
+        teams, waiting = self._dependencies.teams(), self._placer.load.waiting
+        forecast = start_forecast(self.state, teams, waiting > 0, now)
+        self._member.admission.receive(forecast, self.epoch, now, own=True)
+        return forecast
+
     async def _wait_for_next_heartbeat(self, due_at: float, append_s: float) -> None:
         """Waits until a heartbeat is due, or until the log has become slow.
 
@@ -649,7 +649,7 @@
         second = await self._start_once(order)
         if second.outcome is not OrderOutcome.NOT_SENT:
             self._dependencies.metrics.count("starts.repeated")
-        if second.outcome in CONCLUSIVE_OUTCOMES:
+        if second.outcome.is_conclusive:
             return replace(second, in_doubt=True)
         # This outcome of the second order does not determine the first order's, which
         # may still arrive.
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -5,12 +5,14 @@
 state is in the platform's log.
 
 Usage:
-    platform [--metrics=PORT/PATH] [--limits=FILE]
+    platform [--metrics=PORT/PATH] [--limits=FILE] [--admission]
 
 Options:
     --metrics=PORT/PATH  Port and path that serve the metrics; none by default.
     --limits=FILE        YAML file with the limits of what clients may use, in the
                          format of input_limits in docs/configuration.md.
+    --admission          Refuse jobs that would end too late to be worth anything, also
+                         if the configuration has no teams. With teams it is always on.
 """
 
 import signal
@@ -71,6 +73,8 @@
         metrics: Port and path that serve the metrics, such as ``9464/metrics``;
             empty for none.
         limits: Limits of what clients may use.
+        admission: Whether jobs that would end too late are refused also without teams.
+        admission: Whether jobs that would end too late are refused also without teams.
 
     Attributes:
         exit_code: Exit code of the process after `run`.
@@ -81,6 +85,7 @@
         settings: EntrySettings,
         metrics: str = "",
         limits: InputLimits | None = None,
+        admission: bool = False,
     ):
         limits = limits or InputLimits()
         self._settings = settings
@@ -108,6 +113,7 @@
                 JobLimits(settings.record_bytes),
                 settings.harm_s,
                 PeerLimits(limits.message_bytes, limits.entry_vms),
+                admission,
             ),
             teams=lambda: self._view.team_limits(self._clock.now_with_suspensions()),
             config_version=lambda: self._view.version,
@@ -241,7 +247,9 @@
     options = docopt(__doc__)
     configure("info", NonBlockingLogOutput(sys.stdout.fileno()))
     limits = load_limits(options["--limits"]) if options["--limits"] else None
-    daemon = EntryDaemon(load_settings(), options["--metrics"] or "", limits)
+    daemon = EntryDaemon(
+        load_settings(), options["--metrics"] or "", limits, options["--admission"]
+    )
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(signal_number, lambda *_: daemon.request_stop())
     signal.signal(signal.SIGHUP, lambda *_: daemon.request_reload())
--- a/arbutusladder/platform/clientapi.py
+++ b/arbutusladder/platform/clientapi.py
@@ -22,7 +22,7 @@
 from arbutusladder.cell.member import Member
 from arbutusladder.cell.states import SubmissionOutcome
 from arbutusladder.clock import Clock
-from arbutusladder.errors import JobExceedsCap, JobTooLarge, LogUnavailable
+from arbutusladder.errors import JobExceedsCap, JobTooLarge, LogUnavailable, NoRoom
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.ids import JobId
@@ -145,8 +145,11 @@
         except JobTooLarge as error:
             return self._refuse_too_large(error)
         received_at = self._clock.now()
+        retry_s = retry_after_s(record)
         try:
             outcome = await self._store(caller, queue, record, deadline)
+        except NoRoom as error:
+            outcome, retry_s = SubmissionOutcome.NO_ROOM, error.retry_after_s
         except JobTooLarge as error:
             return self._refuse_too_large(error)
         except JobExceedsCap as error:
@@ -164,7 +167,7 @@
             outcome=outcome.value,
             seconds=self._clock.now() - received_at,
         )
-        return self._answer_for_outcome(outcome, retry_after_s(record))
+        return self._answer_for_outcome(outcome, retry_s)
 
     async def _store(
         self, caller: Caller, queue: Queue, record: SubmittedJob, deadline: float
@@ -225,6 +228,8 @@
         match outcome:
             case SubmissionOutcome.ACCEPTED:
                 return _json_answer(HTTPStatus.OK, {})
+            case SubmissionOutcome.NO_ROOM:
+                return self._refuse("no_room", retry_s)
             case SubmissionOutcome.NOT_STORED:
                 return self._refuse("not_stored", retry_s)
             case SubmissionOutcome.UNKNOWN:
