Forecast: keep the ratio of run times as a ratio of sums of seconds

The learnt duration of a typical task follows a change of estimates by steps, which made waits of a queue with estimates of five times the duration 40 % too long (tests/cell/test_startforecast.py, TestLearntDurations).

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -11,6 +11,7 @@
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceDemand
 from arbutusladder.cell.celljobs import Job, create_job
+from arbutusladder.cell.forecast.drainratio import DrainRatios
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
     StartOrder,
@@ -82,6 +83,7 @@
         advice_demand: Demand of the steps with a call for advice in progress.
         team_ledger: Charges of the teams for what they may have running.
         changes: Changes that are not logged or stored yet.
+        drain_ratios: Actual run times of queues relative to their estimates.
         performance: Learnt speeds of workers and durations of tasks.
         interference: Learnt effects of tasks on one another, and paces of fillers.
     """
@@ -107,6 +109,7 @@
         self.advice_demand = AdviceDemand()
         self.team_ledger = TeamLedger()
         self.changes = PendingChanges()
+        self.drain_ratios = DrainRatios()
         self.interference = InterferenceTracker(self.record_event)
         self.performance = PerformanceTracker(self.record_event, self.interference)
         self._token_number_by_vm: dict[VmId, int] = {}
--- a/arbutusladder/cell/forecast/cellload.py
+++ b/arbutusladder/cell/forecast/cellload.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from arbutusladder.cell.celljobs import Job
     from arbutusladder.cell.cellstate import CellState
-    from arbutusladder.cell.performance.durations import DurationEstimates
     from arbutusladder.cell.runs import Run
     from arbutusladder.cell.stages import Stage
     from arbutusladder.messages import Resources
@@ -198,11 +197,11 @@
         load = load_by_service.get(job.record.queue.service)
         if load is None or job.phase.is_final or cell.is_blocked(job):
             continue
-        durations = cell.performance.durations
+        ratio = cell.drain_ratios.ratio(job.record.queue.name, now)
         _add_terms(load, job)
         for stage in job.stage_by_key.values():
-            _add_runs(load, stage, durations, now)
-            _add_waiting(load, job, stage, durations, now)
+            _add_runs(load, stage, ratio, now)
+            _add_waiting(load, job, stage, ratio, now)
 
 
 def _plus(amounts: Amounts, need: Resources) -> Amounts:
@@ -220,11 +219,9 @@
     load.terms_by_priority.setdefault(priority, []).append(terms)
 
 
-def _add_runs(
-    load: ServiceLoad, stage: Stage, durations: DurationEstimates, now: float
-) -> None:
+def _add_runs(load: ServiceLoad, stage: Stage, ratio: float, now: float) -> None:
     queue, team = stage.job.record.queue, stage.job.team
-    expected_s = _expected_s(stage, durations)
+    expected_s = stage.spec.estimate_s * ratio
     for task in stage.tasks:
         for run in task.runs:
             used = load.used_by_team.get(team, NOTHING)
@@ -246,20 +243,11 @@
     return max(MIN_REMAINING_S, expected_s - elapsed_s)
 
 
-def _expected_s(stage: Stage, durations: DurationEstimates) -> float:
-    queue, spec = stage.job.record.queue, stage.spec
-    return durations.expected_s(queue.name, spec.image, spec.estimate_s)
-
-
 def _add_waiting(
-    load: ServiceLoad,
-    job: Job,
-    stage: Stage,
-    durations: DurationEstimates,
-    now: float,
+    load: ServiceLoad, job: Job, stage: Stage, ratio: float, now: float
 ) -> None:
     need, queue = stage.spec.need, job.record.queue
-    duration_s = _expected_s(stage, durations)
+    duration_s = stage.spec.estimate_s * ratio
     if stage.spec.lasting:
         duration_s = 2 * HORIZON_S
     kind = (queue.priority, need.accelerators > 0)
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -83,6 +83,7 @@
             case EndKind.DONE:
                 if run:
                     worker.record_success(run)
+                    self._cell.drain_ratios.observe_end(stage, run, now)
                 self._cell.performance.record_done(worker, run, stage, now)
                 self._cell.complete_task(stage, index)
             case EndKind.FAILED:
--- a/tests/platform/test_clientapi.py
+++ b/tests/platform/test_clientapi.py
@@ -11,7 +11,7 @@
 from arbutusladder.errors import NoRoom
 from arbutusladder.metrics import Metrics
 from arbutusladder.platform.clientapi import RESPONSE_MARGIN_S, ClientApi
-from arbutusladder.platform.routes import RoutingTable
+from arbutusladder.platform.routes import Queue, RoutingTable
 from tests.cell import workloads
 
 QUEUE_TIMEOUT_S = 3.0
@@ -80,13 +80,12 @@
     def test_it_is_refused_with_the_time_of_room(self):
         """Guards against a Retry-After from the objective instead of the forecast."""
         clock, metrics = ManualClock(), Metrics()
-        queue = SimpleNamespace(
-            path_prefix="/q/", timeout_s=QUEUE_TIMEOUT_S, terms=workloads.AUDITS
-        )
-        table = SimpleNamespace(find_queue=lambda host, path: queue)
+        queue = Queue(workloads.AUDITS, "q.example", "/q/", QUEUE_TIMEOUT_S)
+        view = ConfigView(2.0)
+        view.apply(RoutingTable(1, {"q.example": [queue]}), now=0.0)
         journal = SimpleNamespace(write=lambda event, **fields: None)
         member = SimpleNamespace(submit=self._submit)
-        api = ClientApi(member, lambda: table, clock, journal, metrics)
+        api = ClientApi(member, view, clock, journal, metrics)
         request = SimpleNamespace(
             method="POST",
             host="q.example",
