--- a/arbutusladder/cell/interference/tracker.py
+++ b/arbutusladder/cell/interference/tracker.py
@@ -99,11 +99,7 @@
         """Returns what placement of a step has to avoid if it can; None for nothing."""
         image = stage.spec.image
         levels = self.pairs.levels(image) if image else {}
-        throttled = frozenset(
-            vm for vm, pacing in self._pacing_by_vm.items() if pacing.level
-        )
-        if not stage.spec.fills:
-            throttled = frozenset()
+        throttled = self._throttled_vms() if stage.spec.fills else frozenset()
         return Disturbance(levels, throttled) if levels or throttled else None
 
     def due_paces(
@@ -146,8 +142,10 @@
         """Sets the gauges of what was learnt."""
         metrics.gauge("interference.pairs", len(self.pairs))
         metrics.gauge("interference.worst_slowdown", self.pairs.worst())
-        throttled = sum(pacing.level > 0 for pacing in self._pacing_by_vm.values())
-        metrics.gauge("interference.throttled_workers", throttled)
+        metrics.gauge("interference.throttled_workers", len(self._throttled_vms()))
+
+    def _throttled_vms(self) -> frozenset[VmId]:
+        return frozenset(vm for vm, row in self._pacing_by_vm.items() if row.level)
 
     def _percent(self, vm: VmId) -> int:
         pacing = self._pacing_by_vm.get(vm)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -146,7 +146,13 @@
         self.state.job_limits = dependencies.settings.job_limits
         self.state.interference.harm_s = dependencies.settings.harm_s
         self._placer = Placer(self.state)
-        self._run_orders = RunOrderSender(self.epoch, self.state, dependencies)
+        self._run_orders = RunOrderSender(
+            self.epoch,
+            self.state,
+            dependencies.orders,
+            dependencies.metrics,
+            self._clock,
+        )
         self.evidence = OwnershipEvidence(claim.epoch, dependencies.clock, claimed_at)
         self._is_confirmed = True
         self._claim = claim
--- a/arbutusladder/cell/runorders.py
+++ b/arbutusladder/cell/runorders.py
@@ -1,17 +1,12 @@
 """Sends orders for runs in progress to workers: stops and paces."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING
-
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.fencing import fencing_token
-from arbutusladder.cell.interfaces import PaceOrder, StopOrder
+from arbutusladder.cell.interfaces import OrderSender, PaceOrder, StopOrder
 from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.clock import Clock
 from arbutusladder.ids import Epoch
-
-if TYPE_CHECKING:
-    from arbutusladder.cell.member import CellDependencies
+from arbutusladder.metrics import Metrics
 
 
 class RunOrderSender:
@@ -20,13 +15,24 @@
     Args:
         epoch: The epoch.
         state: State of the cell.
-        dependencies: Services and settings of the entry VM.
+        orders: Client of the workers.
+        metrics: Counters.
+        clock: Monotonic time.
     """
 
-    def __init__(self, epoch: Epoch, state: CellState, dependencies: CellDependencies):
+    def __init__(
+        self,
+        epoch: Epoch,
+        state: CellState,
+        orders: OrderSender,
+        metrics: Metrics,
+        clock: Clock,
+    ):
         self._epoch = epoch
         self._state = state
-        self._dependencies = dependencies
+        self._orders = orders
+        self._metrics = metrics
+        self._clock = clock
 
     async def send(self, order: StopOrder | PaceOrder) -> None:
         """Sends an order and applies its answer."""
@@ -35,19 +41,17 @@
             return
         number = worker.token_number
         token = fencing_token(self._epoch, number)
-        orders, metrics = self._dependencies.orders, self._dependencies.metrics
         match order:
             case StopOrder():
-                answer = await orders.stop(worker.entry, order, token)
+                answer = await self._orders.stop(worker.entry, order, token)
             case PaceOrder():
-                answer = await orders.pace(worker.entry, order, token)
+                answer = await self._orders.pace(worker.entry, order, token)
         answer = self._state.resolve_fencing(order.vm, answer, number)
         match order:
             case StopOrder():
-                metrics.count(f"stops.{answer.outcome.value}")
-                now = self._dependencies.clock.now()
-                self._state.apply_stop_answer(order, answer, now)
+                self._metrics.count(f"stops.{answer.outcome.value}")
+                self._state.apply_stop_answer(order, answer, self._clock.now())
             case PaceOrder():
-                metrics.count(f"paces.{answer.outcome.value}")
+                self._metrics.count(f"paces.{answer.outcome.value}")
                 self._state.changes.fenced |= answer.outcome is OrderOutcome.FENCED
                 self._state.interference.apply_answer(order, answer)
--- a/arbutusladder/cell/workerselection.py
+++ b/arbutusladder/cell/workerselection.py
@@ -189,9 +189,8 @@
 
     Workers near the data come first, then those with a valid ticket, then those that
     suit the step by their speed, then those whose tasks do not disturb it, then the one
-    with the fewest free cores (best fit).
-    Tickets come first once the step has renewed them several times without a start,
-    because others had used the room meanwhile.
+    with the fewest free cores (best fit). Tickets come first once the step has renewed
+    them several times without a start, because others had used the room meanwhile.
 
     Args:
         stage: The step.
@@ -202,20 +201,21 @@
     """
     rank_by_class = preference.rank_by_class if preference else {}
     tries_newcomers = preference is None or preference.allows_newcomers
+    uses_tickets = needs_advice(stage)
+    has_rack = bool(stage.spec.near_rack)
+    tickets_first = stage.advice.renewals >= MAX_RENEWALS_NEAR_DATA
 
     def key(worker: Worker) -> tuple:
-        remote = _is_remote(stage, worker)
+        remote = has_rack and _is_remote(stage, worker)
         no_ticket = (
-            needs_advice(stage)
-            and stage.advice.valid_ticket(worker.entry.vm, now) is None
+            uses_tickets and stage.advice.valid_ticket(worker.entry.vm, now) is None
         )
         speed = worker.speed
         rank = rank_by_class.get(speed.speed_class, 0)
-        if speed.newcomer:
-            is_idle = not worker.run_by_key
-            rank = FIRST_RANK if tries_newcomers and is_idle else rank
+        if speed.newcomer and tries_newcomers and not worker.run_by_key:
+            rank = FIRST_RANK
         level = disturbance.level(worker) if disturbance else 0
-        if stage.advice.renewals >= MAX_RENEWALS_NEAR_DATA:
+        if tickets_first:
             return no_ticket, remote, rank, level, worker.free.cpu
         return remote, no_ticket, rank, level, worker.free.cpu
 
@@ -261,7 +261,7 @@
     """Returns whether a candidate can take one more task of a step now."""
     return (
         fits(stage.spec.need, worker.free)
-        and not _at_limit(stage, worker)
+        and not (stage.spec.max_per_worker and _at_limit(stage, worker))
         and worker.trial_task is None
     )
 
@@ -269,8 +269,6 @@
 def _at_limit(stage: Stage, worker: Worker) -> bool:
     """Returns whether a worker runs as many tasks of a step as the step allows."""
     limit = stage.spec.max_per_worker
-    if not limit:
-        return False
     present = sum(1 for run in worker.run_by_key.values() if run.stage == stage.key)
     return present >= limit
 
