Keep a typical speed for the class of new workers

With hysteresis all known workers may be in other classes than 0. A worker that joins is in class 0, whose rank was then missing and would have ended the round of decisions.

--- a/arbutusladder/cell/performance/classes.py
+++ b/arbutusladder/cell/performance/classes.py
@@ -55,7 +55,8 @@
         speeds: Speeds of all workers.
 
     Returns:
-        The typical speed of each class that has workers.
+        The typical speed of class 0, which new workers join, and of each other class
+        that has workers.
     """
     known = [speed for speed in speeds if speed.is_known]
     enough = bool(known) and known_share(speeds) >= MIN_KNOWN_SHARE
@@ -67,7 +68,7 @@
             speed.speed_class = 0
     return {
         number: math.exp(centre + number * CLASS_WIDTH)
-        for number in sorted({speed.speed_class for speed in speeds})
+        for number in sorted({0, *(speed.speed_class for speed in speeds)})
     }
 
 
--- a/arbutusladder/cell/workerselection.py
+++ b/arbutusladder/cell/workerselection.py
@@ -202,18 +202,20 @@
     rank_by_class = preference.rank_by_class if preference else {}
     tries_newcomers = preference is None or preference.allows_newcomers
     uses_tickets = needs_advice(stage)
-    has_rack = bool(stage.spec.near_rack)
+    is_simple = disturbance is None and not stage.spec.near_rack
     tickets_first = stage.advice.renewals >= MAX_RENEWALS_NEAR_DATA
 
     def key(worker: Worker) -> tuple:
-        remote = has_rack and _is_remote(stage, worker)
         no_ticket = (
             uses_tickets and stage.advice.valid_ticket(worker.entry.vm, now) is None
         )
         speed = worker.speed
-        rank = rank_by_class.get(speed.speed_class, 0)
+        rank = rank_by_class[speed.speed_class] if rank_by_class else 0
         if speed.newcomer and tries_newcomers and not worker.run_by_key:
             rank = FIRST_RANK
+        if is_simple:
+            return no_ticket, rank, worker.free.cpu
+        remote = _is_remote(stage, worker)
         level = disturbance.level(worker) if disturbance else 0
         if tickets_first:
             return no_ticket, remote, rank, level, worker.free.cpu
--- a/tests/cell/test_performance.py
+++ b/tests/cell/test_performance.py
@@ -100,6 +100,11 @@
             seen.append(worker.speed_class)
         assert seen == [0, 0, 0, 1, 1, 1, 1]
 
+    def test_class_of_new_workers_always_has_a_speed(self):
+        """Guards against a class without a rank when a worker has just joined."""
+        speeds = [WorkerSpeed(variance=0.006, speed_class=1) for _ in range(4)]
+        assert 0 in classify(speeds)
+
 
 class TestChoiceBySpeed:
     """Steps use the slowest workers on which they meet their objective."""
