Limits of header fields and chunks that no request of the documented sizes reaches

A head of 16,384 bytes can have 4,095 fields and a body of 262,144 bytes as many chunks, so the defaults of 500 and 8,192 refused requests inside the documented limits. The budget and the turns bound the cost of many small parts. The number of entry VMs is 1,200, above the size that the design is for.

--- a/arbutusladder/settings.py
+++ b/arbutusladder/settings.py
@@ -42,14 +42,14 @@
         Annotated[
             int,
             Meta(
-                description="Limit on the header fields of a request. Status 431, counter head_fields.",
+                description="Limit on the header fields of a request; a head of 16,384 bytes has fewer. Status 431, counter head_fields.",
                 ge=16,
             ),
         ]
         | UnsetType
-    ) = 500
+    ) = 4096
     """
-    Limit on the header fields of a request. Status 431, counter head_fields.
+    Limit on the header fields of a request; a head of 16,384 bytes has fewer. Status 431, counter head_fields.
     """
     head_timeout_s: (
         Annotated[
@@ -83,14 +83,14 @@
         Annotated[
             int,
             Meta(
-                description="Limit on the chunks of a body. Status 400, counter chunks.",
+                description="Limit on the chunks of a body; one of 262,144 bytes has no more. Status 400, counter chunks.",
                 ge=1,
             ),
         ]
         | UnsetType
-    ) = 8192
+    ) = 262144
     """
-    Limit on the chunks of a body. Status 400, counter chunks.
+    Limit on the chunks of a body; one of 262,144 bytes has no more. Status 400, counter chunks.
     """
     unfinished_bytes: (
         Annotated[
@@ -204,7 +204,7 @@
             ),
         ]
         | UnsetType
-    ) = 400
+    ) = 1200
     """
     Limit on the other entry VMs to which one connects. Counter peers.too_many.
     """
