Reserve memory for urgent tasks as well as cores

The reserve for urgent tasks held cores only. Where other work uses up the memory first, no urgent task found room however many cores were reserved: of 20 urgent tasks in tests/cell/test_placement.py (TestMemoryFilledByOtherWork) none started, and all do now. A service that runs nothing admits one start beside the reserve, so that a task which needs all of it is not kept out.

--- a/arbutusladder/cell/decisionround.py
+++ b/arbutusladder/cell/decisionround.py
@@ -1,6 +1,5 @@
 """State of one round of decisions, and the load of the cell that it found."""
 
-import math
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.advicecalls import AdviceCapacity
@@ -9,11 +8,49 @@
 from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
+from arbutusladder.messages import Resources
+from arbutusladder.resources import EPSILON, add, subtract
 
-# Share of the cores of each service that is reserved for urgent tasks.
+# Share of the cores, and of the memory, of each service that is reserved for urgent
+# tasks.
 URGENT_RESERVE = 0.06
 
 
+@dataclass
+class NonurgentRoom:
+    """Free cores and memory of a service beyond the reserve for urgent tasks.
+
+    Attributes:
+        usable: What tasks that are not urgent may still use.
+        is_idle: Whether the service runs nothing. Then one start may use the reserve,
+            so that a task which needs the whole service is not kept from it.
+    """
+
+    usable: Resources = field(default_factory=Resources)
+    is_idle: bool = True
+
+    def add_worker(self, worker: Worker) -> None:
+        """Adds the room of a worker."""
+        capacity, free = worker.entry.capacity, worker.free
+        cpu = free.cpu - capacity.cpu * URGENT_RESERVE
+        memory_mb = free.memory_mb - capacity.memory_mb * URGENT_RESERVE
+        self.usable = add(self.usable, Resources(cpu, memory_mb))
+        self.is_idle = self.is_idle and not worker.run_by_key
+
+    def allows(self, need: Resources) -> bool:
+        """Returns whether tasks that are not urgent may use resources."""
+        usable = self.usable
+        return self.is_idle or (
+            need.cpu <= usable.cpu + EPSILON
+            and need.memory_mb <= usable.memory_mb + EPSILON
+        )
+
+    def consume(self, need: Resources) -> None:
+        """Deducts what tasks that are not urgent use."""
+        self.usable = subtract(self.usable, need)
+        self.is_idle = False
+
+
 @dataclass
 class DecisionRound:
     """State shared by the placements of one round of decisions.
@@ -21,8 +58,7 @@
     Attributes:
         now: Monotonic time in seconds.
         available_workers: Workers that accept new tasks.
-        nonurgent_cpu_by_service: Free cores of each service that non-urgent tasks may
-            still use.
+        nonurgent_by_service: Room of each service for tasks that are not urgent.
         advice: Calls to the advice service that may still begin.
         reserved_vms: Workers reserved for a waiting gang.
         reserving_gangs: Number of gangs that have reserved workers.
@@ -34,7 +70,7 @@
 
     now: float
     available_workers: list[Worker]
-    nonurgent_cpu_by_service: dict[str, float]
+    nonurgent_by_service: dict[str, NonurgentRoom]
     advice: AdviceCapacity
     order: StageOrder
     reserved_vms: set[VmId] = field(default_factory=set)
@@ -42,16 +78,17 @@
     sound_services: frozenset[str] = frozenset()
     capped_stages: set[str] = field(default_factory=set)
 
-    def available_cpu(self, stage: Stage) -> float:
-        """Returns the number of cores that a step may still use."""
+    def may_use(self, stage: Stage, need: Resources) -> bool:
+        """Returns whether a step may use resources beside the urgent reserve."""
         if is_urgent(stage):
-            return math.inf
-        return self.nonurgent_cpu_by_service.get(service_of(stage), 0.0)
+            return True
+        usable = self.nonurgent_by_service.get(service_of(stage))
+        return usable is not None and usable.allows(need)
 
-    def consume_cpu(self, stage: Stage, cores: float) -> None:
-        """Deducts cores that a step uses; those of urgent steps are not limited."""
+    def consume(self, stage: Stage, need: Resources) -> None:
+        """Deducts resources that a step uses; those of urgent steps are not limited."""
         if not is_urgent(stage):
-            self.nonurgent_cpu_by_service[service_of(stage)] -= cores
+            self.nonurgent_by_service[service_of(stage)].consume(need)
 
 
 @dataclass(frozen=True)
@@ -78,11 +115,10 @@
     return stage.job.record.queue.service
 
 
-def nonurgent_cpu_by_service(workers: list[Worker]) -> dict[str, float]:
-    """Returns the free cores of each service beyond those for urgent tasks."""
-    cores: dict[str, float] = {}
+def nonurgent_by_service(workers: list[Worker]) -> dict[str, NonurgentRoom]:
+    """Returns the room of each service for tasks that are not urgent."""
+    room_by_service: dict[str, NonurgentRoom] = {}
     for worker in workers:
-        service, entry = worker.entry.service, worker.entry
-        usable = worker.free.cpu - entry.capacity.cpu * URGENT_RESERVE
-        cores[service] = cores.get(service, 0.0) + usable
-    return cores
+        room = room_by_service.setdefault(worker.entry.service, NonurgentRoom())
+        room.add_worker(worker)
+    return room_by_service
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -10,7 +10,7 @@
 from arbutusladder.cell.decisionround import (
     DecisionRound,
     LoadSummary,
-    nonurgent_cpu_by_service,
+    nonurgent_by_service,
     service_of,
 )
 from arbutusladder.cell.interfaces import AdviceOrder, PaceOrder, StartOrder, StopOrder
@@ -40,7 +40,7 @@
 )
 from arbutusladder.ids import VmId
 from arbutusladder.messages import Resources
-from arbutusladder.resources import add, fits
+from arbutusladder.resources import add, fits, scale
 
 # Waiting gangs that may reserve workers at the same time.
 MAX_RESERVING_GANGS = 2
@@ -108,7 +108,7 @@
         this_round = DecisionRound(
             now,
             workers,
-            nonurgent_cpu_by_service(workers),
+            nonurgent_by_service(workers),
             advice,
             self._order(waiting, workers, now),
             sound_services=frozenset(sound),
@@ -250,7 +250,7 @@
         preference = self._speed_preference(stage, now)
         disturbance = self._cell.interference.disturbance(stage)
         for index in stage.waiting_tasks():
-            if need.cpu > this_round.available_cpu(stage):
+            if not this_round.may_use(stage, need):
                 break
             if orders and self._is_capped(stage, this_round):
                 break
@@ -262,7 +262,7 @@
             if needs_ticket:
                 break
             orders.append(self._start(stage, index, worker, ticket or "", now))
-            this_round.consume_cpu(stage, need.cpu)
+            this_round.consume(stage, need)
             if this_round.order.is_overtaken(stage):
                 break
         if needs_ticket:
@@ -283,11 +283,11 @@
             chosen = select_gang_workers_anywhere(
                 stage, candidates, now, preference, disturbance
             )
-        need_cpu = stage.spec.need.cpu * len(stage.tasks)
-        if chosen is None or need_cpu > this_round.available_cpu(stage):
+        need = scale(stage.spec.need, len(stage.tasks))
+        if chosen is None or not this_round.may_use(stage, need):
             self._reserve_for_gang(stage, this_round)
             return []
-        this_round.consume_cpu(stage, need_cpu)
+        this_round.consume(stage, need)
         if not needs_advice(stage):
             return self._start_gang(stage, chosen, now)
         missing = {
--- a/tests/cell/test_placement.py
+++ b/tests/cell/test_placement.py
@@ -305,3 +305,33 @@
         simulation.run(2.0)
         small = [order for order in simulation.started if order.vm == entries[-1].vm]
         assert len(small) == 4
+
+
+class TestMemoryFilledByOtherWork:
+    """Pattern: tasks that are not urgent use up the memory before the cores."""
+
+    def test_urgent_tasks_find_room(self):
+        """Guards against a reserve for urgent tasks that has cores without memory."""
+        filling = workloads.job_id(1)
+
+        def duration(task, vm):
+            return 8.0 if task.startswith(filling) else 0.8
+
+        simulation = Simulation(workloads.workers(), duration)
+        heavy = workloads.StepSpec(24 * 8, workloads.Resources(4.0, 16384.0), 8.0)
+        simulation.submit_at(0, workloads.job(1, workloads.AUDITS, heavy))
+        for number in range(10):
+            when = 1.0 + 0.1 * number
+            simulation.submit_at(when, workloads.quote(number + 2))
+        simulation.run(3.0)
+        started = [order.task for order in simulation.started]
+        quotes = [task for task in started if not task.startswith(filling)]
+        assert len(quotes) == 20
+
+    def test_task_of_the_whole_service_starts(self):
+        """Guards against a reserve that keeps an idle service from its only task."""
+        simulation = Simulation(workloads.workers(1), lambda task, vm: 1.0)
+        whole = workloads.StepSpec(1, workloads.Resources(64.0, 131072.0), 1.0)
+        simulation.submit_at(0, workloads.job(1, workloads.AUDITS, whole))
+        simulation.run(0.5)
+        assert len(simulation.started) == 1
