--- a/arbutusladder/cell/decisionround.py
+++ b/arbutusladder/cell/decisionround.py
@@ -9,7 +9,7 @@
 from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
 from arbutusladder.messages import Resources
-from arbutusladder.resources import EPSILON, add, subtract
+from arbutusladder.resources import EPSILON
 
 # Share of the cores, and of the memory, of each service that is reserved for urgent
 # tasks.
@@ -21,33 +21,34 @@
     """Free cores and memory of a service beyond the reserve for urgent tasks.
 
     Attributes:
-        usable: What tasks that are not urgent may still use.
+        cpu: Cores that tasks which are not urgent may still use.
+        memory_mb: The same in megabytes of memory.
         is_idle: Whether the service runs nothing. Then one start may use the reserve,
             so that a task which needs the whole service is not kept from it.
     """
 
-    usable: Resources = field(default_factory=Resources)
+    cpu: float = 0.0
+    memory_mb: float = 0.0
     is_idle: bool = True
 
     def add_worker(self, worker: Worker) -> None:
         """Adds the room of a worker."""
         capacity, free = worker.entry.capacity, worker.free
-        cpu = free.cpu - capacity.cpu * URGENT_RESERVE
-        memory_mb = free.memory_mb - capacity.memory_mb * URGENT_RESERVE
-        self.usable = add(self.usable, Resources(cpu, memory_mb))
+        self.cpu += free.cpu - capacity.cpu * URGENT_RESERVE
+        self.memory_mb += free.memory_mb - capacity.memory_mb * URGENT_RESERVE
         self.is_idle = self.is_idle and not worker.run_by_key
 
     def allows(self, need: Resources) -> bool:
         """Returns whether tasks that are not urgent may use resources."""
-        usable = self.usable
         return self.is_idle or (
-            need.cpu <= usable.cpu + EPSILON
-            and need.memory_mb <= usable.memory_mb + EPSILON
+            need.cpu <= self.cpu + EPSILON
+            and need.memory_mb <= self.memory_mb + EPSILON
         )
 
     def consume(self, need: Resources) -> None:
         """Deducts what tasks that are not urgent use."""
-        self.usable = subtract(self.usable, need)
+        self.cpu -= need.cpu
+        self.memory_mb -= need.memory_mb
         self.is_idle = False
 
 
