Compare only urgent work with the share of a team for its urgent steps

A batch that takes a team's whole share for seconds held up the team's urgent jobs behind the batches of all other teams. Test: tests/cell/test_stageorder.py (test_batch_of_a_team_does_not_hold_up_its_urgent_step).

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -27,6 +27,7 @@
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage, stage_key
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
+from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
 from arbutusladder.cell.teamusage.ledger import TeamLedger
 from arbutusladder.cell.unreported import UnreportedWorkers
@@ -581,6 +582,7 @@
             spec=stage.spec,
             team=stage.job.team,
             charge=stage.spec.need,
+            urgent=is_urgent(stage),
         )
         task = stage.tasks[index]
         task.runs.append(run)
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -44,6 +44,7 @@
         token_number: Number of the token of that order.
         team: Team of its job; empty if it has none or is not known.
         charge: Resources charged to the team until the run has ended.
+        urgent: Whether its queue is urgent.
         spec: Step of the task; None if the task is not in the owner's state.
         pace: Share in percent at which it works; None if it is not known.
         pace_sent_at: Monotonic time in seconds of the last order for a pace.
@@ -76,6 +77,7 @@
     token_number: int = -1
     team: TeamName = ""
     charge: Resources = field(default_factory=Resources)
+    urgent: bool = False
     spec: StepSpec | None = None
     pace: int | None = 100
     pace_sent_at: float = -math.inf
--- a/arbutusladder/cell/stageorder.py
+++ b/arbutusladder/cell/stageorder.py
@@ -5,7 +5,7 @@
 from enum import IntEnum
 
 from arbutusladder.cell.stages import Stage
-from arbutusladder.cell.steppriority import priority_key
+from arbutusladder.cell.steppriority import is_urgent, priority_key
 from arbutusladder.cell.teamusage.fairness import FairShares
 
 
@@ -80,6 +80,6 @@
     def _rank(self, stage: Stage) -> Rank:
         if stage.key in self._overdue:
             return Rank.OVERDUE
-        if self._shares and self._shares.is_over(stage.job.team):
+        if self._shares and self._shares.is_over(stage.job.team, is_urgent(stage)):
             return Rank.OVER_SHARE
         return Rank.WITHIN_SHARE
--- a/arbutusladder/cell/teamusage/fairness.py
+++ b/arbutusladder/cell/teamusage/fairness.py
@@ -40,23 +40,28 @@
             [(demand, ledger.weight(team)) for team, demand in demands.items()], usable
         )
         self._level *= USABLE_SHARE
-        self._is_over_by_team: dict[TeamName, bool] = {}
+        self._is_over_by_team: dict[tuple[TeamName, bool], bool] = {}
 
-    def is_over(self, team: TeamName) -> bool:
+    def is_over(self, team: TeamName, urgent: bool = False) -> bool:
         """Returns whether a team uses more than its fair share of a cell without room.
 
-        The result is kept until the team's usage is refreshed.
+        For an urgent step only urgent work of the team counts: a batch that takes the
+        team's whole share for seconds would otherwise hold up its urgent jobs behind
+        the batches of others. The result is kept until the team's usage is refreshed.
         """
-        known = self._is_over_by_team.get(team)
+        key = (team, urgent)
+        known = self._is_over_by_team.get(key)
         if known is None:
-            used, weight = self._ledger.charged(team), self._ledger.weight(team)
-            share = weighted_share(used, self._total, weight)
-            known = self._is_over_by_team[team] = share > self._level + EPSILON
+            ledger = self._ledger
+            used = ledger.urgent_usage.used(team) if urgent else ledger.charged(team)
+            share = weighted_share(used, self._total, ledger.weight(team))
+            known = self._is_over_by_team[key] = share > self._level + EPSILON
         return known
 
     def refresh(self, team: TeamName) -> None:
         """Has the share of a team computed again after a start."""
-        self._is_over_by_team.pop(team, None)
+        self._is_over_by_team.pop((team, False), None)
+        self._is_over_by_team.pop((team, True), None)
 
 
 def fair_level(demands: list[tuple[Resources, float]], total: Resources) -> float:
--- a/arbutusladder/cell/teamusage/ledger.py
+++ b/arbutusladder/cell/teamusage/ledger.py
@@ -24,11 +24,13 @@
 
     Attributes:
         limits: Shares and caps of the teams, which the owner refreshes each round.
+        urgent_usage: The part of the charges for runs of urgent queues.
     """
 
     def __init__(self):
         super().__init__()
         self.limits = TeamLimits()
+        self.urgent_usage = TeamUsage()
         self._inherited_by_team: dict[TeamName, Resources] = {}
 
     @property
@@ -38,11 +40,16 @@
 
     def charge(self, run: Run) -> None:
         """Charges a new run to its team."""
-        self.adjust(run.team, run.charge)
+        self._adjust_for(run, run.charge)
 
     def release(self, run: Run) -> None:
         """Releases the charge of a run that has ended."""
-        self.adjust(run.team, subtract(Resources(), run.charge))
+        self._adjust_for(run, subtract(Resources(), run.charge))
+
+    def _adjust_for(self, run: Run, amount: Resources) -> None:
+        self.adjust(run.team, amount)
+        if run.urgent:
+            self.urgent_usage.adjust(run.team, amount)
 
     def charge_plan(self, stage: Stage) -> None:
         """Charges the planned starts of a gang."""
