Preview where a job would be placed, without sending it

Operators could only find out by submitting a job. The owner now makes a round of decisions by the placement code on a copy of the state that has the job, and any other entry VM asks the owner by PreviewCall. Nothing is stored, started, charged or reserved, which a test shows by comparing the state before and after.

--- a/arbutusladder/cell/forecast/admission.py
+++ b/arbutusladder/cell/forecast/admission.py
@@ -76,7 +76,7 @@
     Returns:
         The refusal; None if the job is to be accepted.
     """
-    wait_s = _expected_wait_s(record, received.forecast)
+    wait_s = expected_wait_s(record, received.forecast)
     wait_s -= now - received.received_at
     path_s = critical_path_s(record)
     objective_s = record.queue.stretch * path_s + record.queue.objective_s
@@ -89,7 +89,7 @@
     return Refusal(wait_s, limit_s, retry_after_s)
 
 
-def _expected_wait_s(record: SubmittedJob, forecast: StartForecast) -> float:
+def expected_wait_s(record: SubmittedJob, forecast: StartForecast) -> float:
     """Returns the longest wait that applies to a job; 0 if there is room."""
     queue = record.queue
     return max(
--- a/arbutusladder/cell/member.py
+++ b/arbutusladder/cell/member.py
@@ -6,8 +6,6 @@
 """
 
 import itertools
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import curio
 
@@ -18,21 +16,12 @@
     JobAppender,
     OwnerStoreReply,
 )
-from arbutusladder.cell.cellsettings import CellSettings
 from arbutusladder.cell.claimmanager import ClaimManager
+from arbutusladder.cell.dependencies import CellDependencies
 from arbutusladder.cell.forecast.admissioncontrol import AdmissionControl
 from arbutusladder.cell.forwardinglog import ForwardingLog
 from arbutusladder.cell.indoubt import InDoubtKeys
-from arbutusladder.cell.interfaces import (
-    Advisor,
-    KeyedLog,
-    KeyedRecord,
-    LogBatch,
-    OffsetDeleted,
-    OrderSender,
-    TeamLimits,
-    WorkerEntry,
-)
+from arbutusladder.cell.interfaces import KeyedRecord, LogBatch, OffsetDeleted
 from arbutusladder.cell.jobtable import (
     JOBS_TOPIC,
     PROGRESS_TOPIC,
@@ -44,16 +33,15 @@
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.memberregistry import select_forwarders
 from arbutusladder.cell.owner import Owner
+from arbutusladder.cell.preview.service import PreviewService
 from arbutusladder.cell.progressposition import ProgressPosition
 from arbutusladder.cell.sharedread import SharedRead
 from arbutusladder.cell.states import JobPhase, JobsSource, SubmissionOutcome
 from arbutusladder.cell.storedcancellations import StoredCancellations
 from arbutusladder.cell.teamusage.caps import check_caps
 from arbutusladder.cell.topicview import TopicView
-from arbutusladder.clock import Clock
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import Epoch, JobId, RequestId, SeatId, VmId
-from arbutusladder.journal import Journal
 from arbutusladder.messages import (
     AdviceCall,
     AdviceReply,
@@ -67,13 +55,14 @@
     MemberHello,
     MemberList,
     OwnerBeat,
+    PreviewCall,
+    PreviewReply,
     ProgressRelay,
     StoreCall,
     StoreItem,
     StoreReply,
     SubmittedJob,
 )
-from arbutusladder.metrics import Metrics
 from arbutusladder.peers import PeerTransport, ReceivedMessage
 
 # Seconds between reads of the jobs topic by an entry VM that does not own the cell.
@@ -93,46 +82,6 @@
 POLL_STEP_S = 0.1
 
 
-async def ignore_config_version(version: int) -> None:
-    """Ignores an announced version, where no configuration has versions."""
-
-
-@dataclass
-class CellDependencies:
-    """External services and settings of an entry VM.
-
-    Attributes:
-        log: Client of the log.
-        orders: Client of the workers.
-        advisor: Client of the advice service.
-        decode_worker: Decodes a record of the worker registry; None if it is invalid.
-        clock: Monotonic and wall clock time.
-        journal: Event log.
-        metrics: Counters and timings.
-        settings: Settings of the cell.
-        teams: Returns the shares and limits of the teams now.
-        config_version: Returns the newest version of the configuration known here.
-        on_config_version: Called with the version that the owner announces.
-    """
-
-    log: KeyedLog
-    orders: OrderSender
-    advisor: Advisor
-    decode_worker: Callable[[KeyedRecord], WorkerEntry | None]
-    clock: Clock
-    journal: Journal
-    metrics: Metrics
-    settings: CellSettings
-    teams: Callable[[], TeamLimits] = TeamLimits
-    config_version: Callable[[], int] = int
-    on_config_version: Callable[[int], Awaitable[None]] = ignore_config_version
-
-    @property
-    def admits_by_forecast(self) -> bool:
-        """Whether jobs that would end too late are refused now."""
-        return self.settings.admission or bool(self.teams().terms_by_name)
-
-
 class Member:
     """Replicates the jobs of a cell from the log and stores new ones.
 
@@ -149,6 +98,7 @@
         members: The other entry VMs, as the owner last listed them.
         claims: Watches the claim and runs the owner.
         admission: Decides by the owner's forecast which jobs have room.
+        previews: Tells where jobs would be placed now.
         loaded: Whether the jobs and their progress were read once.
     """
 
@@ -193,6 +143,7 @@
         self.admission = AdmissionControl(
             self, self.claims, self._clock, dependencies.journal, dependencies.metrics
         )
+        self.previews = PreviewService(self, dependencies)
         self.loaded = False
 
     async def run(self) -> None:
@@ -593,7 +544,15 @@
                     sender,
                     call,
                 )
-            case AdviceReply() | LogReply() | StoreReply() as reply:
+            case PreviewCall() as call:
+                await spawn_logged(
+                    self._dependencies.journal,
+                    "preview",
+                    self.previews.serve,
+                    sender,
+                    call,
+                )
+            case AdviceReply() | LogReply() | PreviewReply() | StoreReply() as reply:
                 await self.peers.resolve_call(reply)
             case OwnerBeat() as beat:
                 self.appender.owner_append_s = beat.append_s
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -32,6 +32,7 @@
     StopOrder,
     WriterFenced,
 )
+from arbutusladder.cell.jobtracking import track_job
 from arbutusladder.cell.leaserenewer import LeaseRenewer
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.memberregistry import MemberRegistry
@@ -123,8 +124,7 @@
         dependencies: CellDependencies,
     ):
         self.epoch = claim.epoch
-        self.released = False
-        self.failed = False
+        self.released = self.failed = False
         self._member = member
         self._dependencies = dependencies
         self._clock = dependencies.clock
@@ -221,6 +221,16 @@
         """Whether the ownership has ended."""
         return self._end_cause.is_set()
 
+    @property
+    def taken_over(self) -> bool:
+        """Whether the predecessor's state is restored."""
+        return self._taken_over_at is not None
+
+    @property
+    def starts_tasks(self) -> bool:
+        """Whether the newest check allowed to start tasks, see `may_start_tasks`."""
+        return self._is_confirmed and self._is_view_recent
+
     async def request_decisions(self) -> None:
         """Triggers a scheduling round."""
         await self._decisions_needed.set()
@@ -510,15 +520,7 @@
         return ends_at
 
     def _track_job(self, job_id: JobId, now: float, inherited: bool) -> None:
-        entry = self._member.table.job_by_id[job_id]
-        if entry.record is None or entry.progress.state.is_final:
-            return
-        if job_id not in self.state.job_by_id:
-            self.state.add_job(entry.record, entry.progress, now, inherited)
-        if entry.reported_end:
-            self.state.apply_reported_end(RelayedState(job_id, entry.reported_end))
-        elif entry.cancelled:
-            self.state.cancel(job_id)
+        track_job(self.state, self._member.table, job_id, now, inherited)
 
     async def _decision_loop(self) -> None:
         while True:
@@ -574,11 +576,9 @@
         if confirmed != self._is_confirmed:
             self._is_confirmed = confirmed
             self._dependencies.metrics.count("owner.confirmation_changes")
-            event = (
-                events.OWNERSHIP_CONFIRMED
-                if confirmed
-                else events.OWNERSHIP_UNCONFIRMED
-            )
+            event = events.OWNERSHIP_UNCONFIRMED
+            if confirmed:
+                event = events.OWNERSHIP_CONFIRMED
             self._dependencies.journal.write(
                 event,
                 epoch=self.epoch,
--- /dev/null
+++ b/arbutusladder/cell/preview/__init__.py
@@ -0,0 +1,1 @@
+"""Placement preview: where a job would be placed now, without sending it."""
--- a/arbutusladder/cell/teamusage/caps.py
+++ b/arbutusladder/cell/teamusage/caps.py
@@ -24,9 +24,10 @@
         need = smallest_start(step)
         if exceeds_limit(Resources(), need, terms.cap):
             what = "a gang" if step.gang else "a task"
+            cap = format_amount(terms.cap, "no limit")
             raise JobExceedsCap(
-                f"step {number}: {what} takes {_format(need)}; "
-                f"the cap of team {record.team} is {_format(terms.cap, 'no limit')}"
+                f"step {number}: {what} takes {format_amount(need)}; "
+                f"the cap of team {record.team} is {cap}"
             )
 
 
@@ -35,7 +36,8 @@
     return scale(step.need, step.count) if step.gang else step.need
 
 
-def _format(amount: Resources, zero: str = "0") -> str:
+def format_amount(amount: Resources, zero: str = "0") -> str:
+    """Returns an amount as text, with another text for nothing at all."""
     pairs = (
         (f"{amount.cpu:g} cores", amount.cpu),
         (f"{amount.memory_mb:g} MB", amount.memory_mb),
--- a/arbutusladder/errors.py
+++ b/arbutusladder/errors.py
@@ -59,6 +59,18 @@
         )
 
 
+class PreviewUnavailable(ArbutusladderError):
+    """No owner can tell where a job would be placed.
+
+    Attributes:
+        problem: Why not.
+    """
+
+    def __init__(self, problem: str):
+        self.problem = problem
+        super().__init__(f"no preview: {problem}; ask again in some seconds")
+
+
 class NoRoom(ArbutusladderError):
     """A job would end too late to be worth anything.
 
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -778,6 +778,37 @@
     """
 
 
+@dataclass
+class PreviewCall:
+    """
+    Request to the owner to tell where a job would be placed now, which is not stored.
+    """
+
+    request_id: RequestId
+    listen: str
+    """
+    Address that the answer is sent to.
+    """
+    record: SubmittedJob
+
+
+@dataclass
+class PreviewReply:
+    """
+    Answer to a PreviewCall.
+    """
+
+    request_id: RequestId
+    preview: bytes
+    """
+    Preview in JSON; empty if there is none.
+    """
+    problem: str = ""
+    """
+    Why there is none.
+    """
+
+
 @dataclass
 class ProgressRelay:
     """
