Answer placement previews on the metrics port and add platform-preview

POST /preview on the metrics port of any entry VM takes the body of a job, a queue or its host and path, and a team. The page is not on the clients' port. The metrics server accepts bodies of the size of a job for it. The command prints a table or JSON. The column of command names in the overview is widened, since long names ran into their summaries.

--- a/arbutusladder/cmdline.py
+++ b/arbutusladder/cmdline.py
@@ -40,6 +40,10 @@
         "arbutusladder.platform.check",
         "Checks the platform's settings and the deploy file.",
     ),
+    "platform-preview": (
+        "arbutusladder.platform.preview",
+        "Shows where a job would be placed on the platform, without sending it.",
+    ),
     "trace": ("arbutusladder.jobtrace", "Shows the history of one job from logs."),
     "waits": ("arbutusladder.jobwaits", "Shows where jobs spend their time from logs."),
 }
@@ -63,7 +67,7 @@
         name: text.partition("\n")[0] for name, text in usage_by_command().items()
     }
     summaries |= {name: summary for name, (_, summary) in MODULES.items()}
-    lines += [f"  {name:<14}{summary}" for name, summary in summaries.items()]
+    lines += [f"  {name:<18}{summary}" for name, summary in summaries.items()]
     lines += ["", "Exit codes:"]
     lines += [f"  {code:<4}{text}" for code, text in EXIT_CODE_DESCRIPTIONS.items()]
     lines += ["", "'arbutusladder COMMAND --help' describes a command."]
--- a/arbutusladder/httplimits/limiter.py
+++ b/arbutusladder/httplimits/limiter.py
@@ -142,10 +142,12 @@
     return HttpLimiter(settings)
 
 
-def small_limiter(metrics: Metrics, journal: Journal) -> HttpLimiter:
-    """Returns the limits of a server for a few callers whose requests have no body."""
+def small_limiter(
+    metrics: Metrics, journal: Journal, body_bytes: int = SMALL_BODY_BYTES
+) -> HttpLimiter:
+    """Returns the limits of a server for a few callers, most of them without a body."""
     settings = InputLimits(
-        body_bytes=SMALL_BODY_BYTES,
+        body_bytes=body_bytes,
         unfinished_bytes=SMALL_UNFINISHED_BYTES,
         max_connections=SMALL_CONNECTIONS,
     )
--- a/arbutusladder/platform/__main__.py
+++ b/arbutusladder/platform/__main__.py
@@ -8,7 +8,9 @@
     platform [--metrics=PORT/PATH] [--limits=FILE] [--admission]
 
 Options:
-    --metrics=PORT/PATH  Port and path that serve the metrics; none by default.
+    --metrics=PORT/PATH  Port and path that serve the metrics; none by default. The port
+                         also answers operators' questions on the path /preview. Clients
+                         must not reach it.
     --limits=FILE        YAML file with the limits of what clients may use, in the
                          format of input_limits in docs/configuration.md.
     --admission          Refuse jobs that would end too late to be worth anything, also
@@ -42,6 +44,7 @@
 from arbutusladder.platform.clientapi import ClientApi
 from arbutusladder.platform.configfollower import ConfigFollower
 from arbutusladder.platform.jsonbody import memory_bytes
+from arbutusladder.platform.previewpage import MAX_QUESTION_BYTES, PreviewPage
 from arbutusladder.platform.routes import RoutingTable
 from arbutusladder.platform.settings import EntrySettings, load_settings
 from arbutusladder.platform.store import PlatformLog
@@ -149,14 +152,21 @@
         self._metrics_servers: list[HttpServer] = []
         if metrics:
             port, _, path = metrics.partition("/")
-            page = MetricsPage(self._metrics, f"/{path}")
+            pages = PreviewPage(
+                self._member.previews,
+                self._view,
+                self._clock,
+                MetricsPage(self._metrics, f"/{path}").answer,
+            )
             host = settings.peer.rpartition(":")[0]
             self._metrics_servers.append(
                 HttpServer(
                     f"{host}:{port}",
-                    page.answer,
+                    pages.answer,
                     on_error=self._log_request_failure,
-                    limiter=small_limiter(self._metrics, self._journal),
+                    limiter=small_limiter(
+                        self._metrics, self._journal, MAX_QUESTION_BYTES
+                    ),
                 )
             )
         self._readiness_server = HttpServer(
