--- a/arbutusladder/cell/preview/service.py
+++ b/arbutusladder/cell/preview/service.py
@@ -124,14 +124,8 @@
         return preview
 
     async def _ask_owner(self, record: SubmittedJob) -> Preview:
-        claims, peers = self._member.claims, self._member.peers
-        claim = claims.current
-        if (
-            claim is None
-            or claim.released
-            or claim.holder == self._member.vm
-            or claims.is_owner_silent(self._clock.now())
-        ):
+        claim, peers = self._member.claims.current, self._member.peers
+        if claim is None or claim.released or claim.holder == self._member.vm:
             raise PreviewUnavailable("no entry VM owns the cell now")
         seat = SeatId(claim.holder)
         listen = self._member.listen
--- a/tests/platform/test_preview.py
+++ b/tests/platform/test_preview.py
@@ -48,6 +48,9 @@
 
     def run(*runs):
         async def scenario(cell):
+            owner = cell.entries[0]._member.claims.owner
+            while not (owner.taken_over and owner.starts_tasks):
+                await curio.sleep(0.05)
             results = []
             for number, arguments, body in runs:
                 path = tmp_path / "job.json"
