Move the claim's lists and the load report out of the owner and the cell's state

The preview names what it needs of the entry VM and the owner by protocols, so that it imports neither; it had joined the circle of imports around the owner.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -42,7 +42,6 @@
     Resources,
     SilentWorker,
     SubmittedJob,
-    WorkerIncarnation,
 )
 
 # Run numbers to skip after a worker has rejected a run number as too low.
@@ -425,61 +424,6 @@
         """Returns whether the records on the log allow extending a worker's lease."""
         return self.is_recorded(vm) and vm not in self.listed_expiring_vms
 
-    def workers_to_record(self) -> frozenset[VmId]:
-        """Returns the workers that may run tasks of this owner or a previous one.
-
-        A worker has to answer before it is used, so entries of the registry that no
-        worker answers for are not recorded.
-        """
-        answering = {
-            vm
-            for vm, worker in self.worker_by_vm.items()
-            if worker.clock_known() or self.is_recorded(vm)
-        }
-        return self.unreported.vms.union(answering)
-
-    def silent_workers(self, now: float, lease_s: float) -> list[SilentWorker]:
-        """Returns the workers that do not answer, as the claim lists them.
-
-        Args:
-            now: Monotonic time in seconds.
-            lease_s: Seconds after which a lease ends that this owner may still extend,
-                as it may for every registered worker.
-        """
-        unreported = [
-            replace(row, lease_s=lease_s, is_extended=True)
-            if row.vm in self.worker_by_vm
-            else row
-            for row in self.unreported.describe(now)
-        ]
-        listed = {row.vm for row in unreported}
-        return unreported + [
-            SilentWorker(
-                vm,
-                lease_s,
-                True,
-                sorted(worker.job_ids_to_await),
-                False,
-            )
-            for vm, worker in self.worker_by_vm.items()
-            if worker.silent_since is not None and vm not in listed
-        ]
-
-    def confirmed_restarts(self, now: float) -> list[WorkerIncarnation]:
-        """Returns the restarted workers on which earlier calls have no effect.
-
-        Only those are listed that this owner has seen to restart, and for as long as a
-        successor could otherwise expect such calls.
-
-        Args:
-            now: Monotonic time in seconds.
-        """
-        return [
-            WorkerIncarnation(vm, worker.born)
-            for vm, worker in self.worker_by_vm.items()
-            if worker.restart_confirmed and now < self.former_calls_end_at(worker)
-        ]
-
     def list_silent_workers(self, silent: list[SilentWorker], stored: bool) -> None:
         """Keeps what the claim says of silent workers true.
 
--- /dev/null
+++ b/arbutusladder/cell/claimlists.py
@@ -0,0 +1,67 @@
+"""What an owner lists of its workers in the claim and beside it, for its successor."""
+
+from dataclasses import replace
+
+from arbutusladder.cell.cellstate import CellState
+from arbutusladder.ids import VmId
+from arbutusladder.messages import SilentWorker, WorkerIncarnation
+
+
+def workers_to_record(cell: CellState) -> frozenset[VmId]:
+    """Returns the workers that may run tasks of this owner or a previous one.
+
+    A worker has to answer before it is used, so entries of the registry that no
+    worker answers for are not recorded.
+    """
+    answering = {
+        vm
+        for vm, worker in cell.worker_by_vm.items()
+        if worker.clock_known() or cell.is_recorded(vm)
+    }
+    return cell.unreported.vms.union(answering)
+
+
+def silent_workers(cell: CellState, now: float, lease_s: float) -> list[SilentWorker]:
+    """Returns the workers that do not answer, as the claim lists them.
+
+    Args:
+        cell: State of the cell.
+        now: Monotonic time in seconds.
+        lease_s: Seconds after which a lease ends that this owner may still extend,
+            as it may for every registered worker.
+    """
+    unreported = [
+        replace(row, lease_s=lease_s, is_extended=True)
+        if row.vm in cell.worker_by_vm
+        else row
+        for row in cell.unreported.describe(now)
+    ]
+    listed = {row.vm for row in unreported}
+    return unreported + [
+        SilentWorker(
+            vm,
+            lease_s,
+            True,
+            sorted(worker.job_ids_to_await),
+            False,
+        )
+        for vm, worker in cell.worker_by_vm.items()
+        if worker.silent_since is not None and vm not in listed
+    ]
+
+
+def confirmed_restarts(cell: CellState, now: float) -> list[WorkerIncarnation]:
+    """Returns the restarted workers on which earlier calls have no effect.
+
+    Only those are listed that this owner has seen to restart, and for as long as a
+    successor could otherwise expect such calls.
+
+    Args:
+        cell: State of the cell.
+        now: Monotonic time in seconds.
+    """
+    return [
+        WorkerIncarnation(vm, worker.born)
+        for vm, worker in cell.worker_by_vm.items()
+        if worker.restart_confirmed and now < cell.former_calls_end_at(worker)
+    ]
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -9,13 +9,14 @@
 from __future__ import annotations
 
 import itertools
-from dataclasses import asdict, replace
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 import curio
 
 from arbutusladder import events
 from arbutusladder.backgroundtasks import log_failure
+from arbutusladder.cell import claimlists
 from arbutusladder.cell.advicedispatcher import AdviceDispatcher
 from arbutusladder.cell.appender import OWNER_SLOW_APPEND_S, SLOW_APPEND_S
 from arbutusladder.cell.cellstate import CellState
@@ -34,6 +35,7 @@
 )
 from arbutusladder.cell.jobtracking import track_job
 from arbutusladder.cell.leaserenewer import LeaseRenewer
+from arbutusladder.cell.loadreport import report_load
 from arbutusladder.cell.logretry import retry_until_answered
 from arbutusladder.cell.memberregistry import MemberRegistry
 from arbutusladder.cell.placement import Order, Placer
@@ -263,7 +265,9 @@
         """
         if self._taken_over_at is None:
             return self._claim.silent
-        silent = self.state.silent_workers(self._clock.now(), self._max_lease_s)
+        silent = claimlists.silent_workers(
+            self.state, self._clock.now(), self._max_lease_s
+        )
         self.state.list_silent_workers(silent, stored=False)
         return silent
 
@@ -274,7 +278,7 @@
         """
         if self._taken_over_at is None:
             return self._claim.restarted
-        return self.state.confirmed_restarts(self._clock.now())
+        return claimlists.confirmed_restarts(self.state, self._clock.now())
 
     def workers_to_record(self) -> frozenset[VmId] | None:
         """Returns the workers to list on the log, and uses no others from now on.
@@ -283,7 +287,7 @@
         """
         if self._taken_over_at is None:
             return self._inherited_vms
-        vms = self.state.workers_to_record()
+        vms = claimlists.workers_to_record(self.state)
         self.state.recorded_vms &= vms
         return vms
 
@@ -421,19 +425,12 @@
         return max(0.0, newest_s - APPEND_WAKEUPS * self._timer_delay_s)
 
     def _log_load(self) -> None:
-        for team in self._placer.cap_waits.teams:
-            self._dependencies.metrics.count(f"cap_waits.{team}")
-        for tracker in (self.state.performance, self.state.interference):
-            tracker.report(self._dependencies.metrics)
-        usage = self.advice_dispatcher.take_usage()
-        self._dependencies.journal.write(
-            events.OWNER_LOAD,
-            **asdict(self._placer.load),
-            workers=len(self.state.worker_by_vm),
-            advising=self.advice_dispatcher.calls_in_progress,
-            advised=usage.calls,
-            taken=usage.actual_s,
-            expected=usage.expected_s,
+        report_load(
+            self.state,
+            self._placer,
+            self.advice_dispatcher,
+            self._dependencies.metrics,
+            self._dependencies.journal,
             append=self.writer.append_s,
             late=self._max_heartbeat_delay_s,
             view=self._view_age_s(),
--- a/arbutusladder/cell/preview/service.py
+++ b/arbutusladder/cell/preview/service.py
@@ -4,7 +4,7 @@
 
 import itertools
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 import curio
 import msgspec
@@ -18,9 +18,12 @@
 from arbutusladder.messages import PreviewCall, PreviewReply, SubmittedJob
 
 if TYPE_CHECKING:
+    from arbutusladder.cell.advicedispatcher import AdviceDispatcher
+    from arbutusladder.cell.cellstate import CellState
     from arbutusladder.cell.dependencies import CellDependencies
-    from arbutusladder.cell.member import Member
-    from arbutusladder.cell.owner import Owner
+    from arbutusladder.ids import VmId
+    from arbutusladder.messages import CellClaim
+    from arbutusladder.peers import PeerTransport
 
 # Seconds to wait for the answer of the owner: a few of its rounds of decisions, and the
 # largest delay of a link.
@@ -32,6 +35,32 @@
 MAX_WAITING = 4
 
 
+class PreviewingOwner(Protocol):
+    """Owner of the cell as a preview uses it; see `arbutusladder.cell.owner`."""
+
+    state: CellState
+    advice_dispatcher: AdviceDispatcher
+    ended: bool
+    taken_over: bool
+    starts_tasks: bool
+
+
+class KnownClaims(Protocol):
+    """Claim that an entry VM knows, and the owner that it runs."""
+
+    current: CellClaim | None
+    owner: PreviewingOwner | None
+
+
+class PreviewingEntryVm(Protocol):
+    """Entry VM as a preview uses it."""
+
+    vm: VmId
+    listen: str
+    peers: PeerTransport
+    claims: KnownClaims
+
+
 class PreviewService:
     """Tells where jobs would be placed now.
 
@@ -40,7 +69,7 @@
         dependencies: Its services and settings.
     """
 
-    def __init__(self, member: Member, dependencies: CellDependencies):
+    def __init__(self, member: PreviewingEntryVm, dependencies: CellDependencies):
         self._member = member
         self._dependencies = dependencies
         self._clock = dependencies.clock
@@ -101,7 +130,7 @@
         finally:
             self._waiting -= 1
 
-    def _running_owner(self) -> Owner | None:
+    def _running_owner(self) -> PreviewingOwner | None:
         owner = self._member.claims.owner
         return owner if owner and owner.taken_over and not owner.ended else None
 
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -8,6 +8,7 @@
 
 from arbutusladder.cell.appender import OWNER_SLOW_APPEND_S
 from arbutusladder.cell.cellstate import MAX_WALL_CLOCK_ERROR_S, CellState
+from arbutusladder.cell.claimlists import confirmed_restarts
 from arbutusladder.cell.claims import CLAIM_TIMEOUT_S, FIRST_EPOCH
 from arbutusladder.cell.confirmation import EVIDENCE_VALIDITY_S, OwnershipEvidence
 from arbutusladder.cell.freshness import ORDER_DELIVERY_S, ViewFreshness
@@ -679,12 +680,12 @@
         entry = workloads.workers(1)[0]
         born = int(clock.now() * 1000)
         state, now = owner.state, clock.now()
-        assert state.confirmed_restarts(now) == []
+        assert confirmed_restarts(state, now) == []
         state.update_registry({entry.vm: dataclasses.replace(entry, born=born)}, now)
-        assert state.confirmed_restarts(now) == []
+        assert confirmed_restarts(state, now) == []
         token_number = state.worker_by_vm[entry.vm].token_number
         report = WorkerReport(born, 0.0, token_number=token_number)
         state.apply_report(entry.vm, report, now, now)
-        assert state.confirmed_restarts(now) == [WorkerIncarnation(entry.vm, born)]
+        assert confirmed_restarts(state, now) == [WorkerIncarnation(entry.vm, born)]
         ends_at = state.former_calls_end_at(state.worker_by_vm[entry.vm])
-        assert state.confirmed_restarts(ends_at + 0.1) == []
+        assert confirmed_restarts(state, ends_at + 0.1) == []
--- a/tests/cell/test_unreported.py
+++ b/tests/cell/test_unreported.py
@@ -4,6 +4,7 @@
 
 from arbutusladder.cell.advicecalls import AdviceCapacity
 from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.claimlists import silent_workers
 from arbutusladder.cell.interfaces import EndedTask, StartOrder, WorkerReport
 from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.reports import MAX_REPORTED_ENDS
@@ -71,7 +72,7 @@
         state = state_after_takeover()
         silent = state.worker_by_vm[workloads.workers()[0].vm]
         silent.record_missed_renewal(NOW)
-        rows = state.silent_workers(NOW, LEASE_S)
+        rows = silent_workers(state, NOW, LEASE_S)
         state.list_silent_workers(rows, stored=False)
         silent.record_answer(6.0, NOW + 1.0)
         return state, silent.entry.vm, rows
@@ -160,8 +161,8 @@
         state.apply_report(vm, WorkerReport(1, 6.0, [], ended), NOW + 1.0, NOW + 1.0)
         worker = state.worker_by_vm[vm]
         worker.record_missed_renewal(NOW + 1.1)
-        (row,) = state.silent_workers(NOW + 1.2, LEASE_S)
+        (row,) = silent_workers(state, NOW + 1.2, LEASE_S)
         assert row.job_ids == [job.job_id]
         worker.acknowledge_ends(2)
-        (row,) = state.silent_workers(NOW + 1.3, LEASE_S)
+        (row,) = silent_workers(state, NOW + 1.3, LEASE_S)
         assert row.job_ids == []
