Soak: teams with keys and caps, a flooding team and a public queue

The soak of the platform's daemon had a configuration without teams, so no run with real processes and faults looked at keys, caps or what callers of teams see. Plans now have a second series that changes keys and caps by new versions and floods the cell with jobs of one team; the first series of a seed stays the same. KEY, LEAK and CAP are new rules, and a refused job may not start. A summary counts outcomes by team and priority.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,8 +2,9 @@
 
 Usage:
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
-  soak plan SEED [--seconds=S]
-  soak play FILE [--entries=N] [--workers=N] [--logs=PATH]
+           [--no-teams]
+  soak plan SEED [--seconds=S] [--no-teams]
+  soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--no-teams]
 
 Options:
   --seeds=RANGE  Seeds, such as 1-50 [default: 1-1].
@@ -11,6 +12,7 @@
   --entries=N    Number of entry VMs [default: 4].
   --workers=N    Number of workers [default: 8].
   --logs=PATH    Directory that keeps the logs of the processes; none by default.
+  --no-teams     Configuration without teams, and no faults that concern them.
 
 A seed decides the plan of faults, which `plan` prints as YAML and `play` plays again,
 also after edits. The timing of the processes differs from run to run. Run it as
@@ -43,9 +45,21 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeStore, free_port
+from tests.platform.soakteams import (
+    APPLY_MS,
+    FLOOD_FACTOR,
+    FLOODING_TEAM,
+    KEY_CHANGE_S,
+    REFUSALS,
+    TEAMS,
+    TIMEOUT_MS,
+    SoakJob,
+    SoakTeams,
+    count_outcomes,
+)
 from tests.platform.soakworkers import (
+    CORES,
     FINAL_STATES,
-    MAX_ATTEMPTS,
     SERVICE,
     RuleChecker,
     SoakWorker,
@@ -54,10 +68,8 @@
 from tests.relay import Route
 
 ROOT = Path(__file__).parents[2]
-PREFIX = "/jobs/"
 LOG_READ = b"/v1/log-read"
 GRACE_S = 6.0
-DEADLINE_MS = 3000
 ARRIVALS_PER_S = 6.0
 CANCELLED_SHARE = 0.12
 ATTEMPTS = 5
@@ -135,19 +147,37 @@
     "half_pause": (0.3, 5.0, 2),
     "recut": (7.0, 9.0, 2),
 }
+# The same for what the operator changes and for surges of a team.
+TEAM_FAULTS = {
+    "new_keys": (3.0, 8.0, 3),
+    "new_caps": (3.0, 8.0, 2),
+    "flood": (2.0, 6.0, 2),
+}
+# Shortest and longest time in seconds between two faults of a series.
+FAULT_INTERVAL_S, TEAM_FAULT_INTERVAL_S = (0.2, 2.5), (1.0, 4.0)
+
+
+def make_plan(seed: int, seconds: float, teams: bool = False) -> list[Fault]:
+    """Returns the faults of a seed; they come in series and overlap.
+
+    What concerns teams is a series of its own, so that the other one stays the same.
+    """
+    plan = _draw_series(random.Random(seed), seconds, FAULTS, FAULT_INTERVAL_S)
+    if teams:
+        draw = random.Random(f"teams {seed}")
+        plan += _draw_series(draw, seconds, TEAM_FAULTS, TEAM_FAULT_INTERVAL_S)
+    return sorted(plan, key=lambda fault: fault.at)
 
 
-def make_plan(seed: int, seconds: float) -> list[Fault]:
-    """Returns the faults of a seed; they come in series and overlap."""
-    draw = random.Random(seed)
+def _draw_series(draw, seconds, faults, interval_s):
     plan, at = [], 2.0
-    weights = [weight for _, _, weight in FAULTS.values()]
+    weights = [weight for _, _, weight in faults.values()]
     while at < seconds:
-        kind = draw.choices(list(FAULTS), weights)[0]
-        shortest, longest, _ = FAULTS[kind]
+        kind = draw.choices(list(faults), weights)[0]
+        shortest, longest, _ = faults[kind]
         length = round(draw.uniform(shortest, longest), 2)
         plan.append(Fault(round(at, 2), kind, draw.randrange(1000), length))
-        at += draw.uniform(0.2, 2.5)
+        at += draw.uniform(*interval_s)
     return plan
 
 
@@ -179,7 +209,12 @@
             "listen": {"front": self.front, "ready": self.ready},
             "port-range": [int(peer.rpartition(":")[2])] * 2,
             "platform": {"address": relay, "form": "log"},
-            "bounds": {"max-hold-ms": 6000, "grace-s": GRACE_S, "status_s": 120},
+            "bounds": {
+                "max-hold-ms": 6000,
+                "grace-s": GRACE_S,
+                "status_s": 120,
+                "config-apply-ms": APPLY_MS,
+            },
         }
         self._settings.write_text(json.dumps(settings))
         self.process = None
@@ -217,20 +252,26 @@
         workers: Number of workers.
         directory: Directory for settings and logs.
         arrivals_per_s: Jobs a second.
+        teams: Teams of the configuration by name; none by default.
 
     Attributes:
         checker: What was checked, and what broke.
+        jobs: All jobs by id, as their callers know them.
     """
 
     def __init__(
-        self, plan, entries, workers, directory, arrivals_per_s=ARRIVALS_PER_S
+        self, plan, entries, workers, directory, arrivals_per_s=ARRIVALS_PER_S, teams=()
     ):
         self.checker = RuleChecker()
+        self.jobs: dict[str, SoakJob] = {}
         self._plan = plan
         self._store = FakeStore()
+        self._teams = SoakTeams(self._store, self.checker, dict(teams))
+        self.checker.highest_cap = self._teams.highest_cap
         self._pool = HttpConnectionPool(Clock())
         self._kind_by_job: dict[str, str] = {}
         self._accepted: set[str] = set()
+        self._job_numbers = itertools.count(1)
         self._directory = directory
         self._arrivals_per_s = arrivals_per_s
         self._entry_count = entries
@@ -284,7 +325,7 @@
             self._entries.append(entry)
         # The client sends the address as its host.
         hosts = [entry.front.rpartition(":")[0] for entry in self._entries]
-        self._store.put_record("keyed.op", "config", operator_config(hosts))
+        self._teams.store_first(hosts)
         async with curio.timeout_after(START_TIMEOUT_S):
             for entry in self._entries:
                 while (await self._request(entry.ready, "GET", "/v1/readyz"))[0] != 200:
@@ -312,14 +353,19 @@
     def _task_s(self, task):
         return KINDS[self._kind_by_job[task.partition(".")[0]]][0]
 
-    async def _send_jobs(self):
-        for number in itertools.count(1):
-            (kind,) = random.choices(list(KINDS), WEIGHTS)
-            job = f"{random.getrandbits(32):08x}{number:08x}"
+    async def _send_jobs(self, factor=1.0, team=None, kinds=tuple(KINDS)):
+        weights = [WEIGHTS[list(KINDS).index(kind)] for kind in kinds]
+        while True:
+            (kind,) = random.choices(kinds, weights)
+            job = f"{random.getrandbits(32):08x}{next(self._job_numbers):08x}"
+            task_s, counts = KINDS[kind]
+            caller = self._teams.new_job(kind == "quote", task_s * len(counts), team)
+            self.jobs[job] = caller
             self._kind_by_job[job] = kind
-            self.checker.steps_by_job[job] = KINDS[kind][1]
+            self.checker.steps_by_job[job] = counts
+            self.checker.team_by_job[job] = caller.team
             await curio.spawn(self._live, job, kind, daemon=True)
-            await curio.sleep(random.expovariate(self._arrivals_per_s))
+            await curio.sleep(random.expovariate(self._arrivals_per_s * factor))
 
     async def _live(self, job, kind):
         task_s, counts = KINDS[kind]
@@ -328,7 +374,11 @@
             | ({"after": [number - 1]} if number else {})
             for number, count in enumerate(counts)
         ]
-        if not await self._try("POST", job, {"spec": "text", "steps": steps}):
+        body, statuses = {"spec": "text", "steps": steps}, self.jobs[job].statuses
+        if not await self._try("POST", job, body, statuses):
+            if statuses <= REFUSALS:
+                # A refused job never runs; any start of it is one of an unknown job.
+                del self.checker.steps_by_job[job]
             return
         self._accepted.add(job)
         await curio.spawn(self._watch, job, daemon=True)
@@ -347,32 +397,56 @@
 
     async def _read_state(self, job):
         """Returns the state of a job as an entry VM shows it; "" without an answer."""
-        entry = random.choice(self._entries)
-        status, body = await self._request(entry.front, "GET", PREFIX + job)
+        await self._use_foreign_key(job)
+        status, body = await self._send("GET", job)
         state = json.loads(body)["state"] if status == 200 else ""
         self.checker.show(job, state)
         return state
 
-    async def _try(self, method, job, body=None):
+    async def _use_foreign_key(self, job):
+        """Reads or cancels some jobs with the key of a team that may not see them."""
+        key = self._teams.draw_foreign_key(self.jobs[job].team)
+        if key:
+            method = random.choice(["GET", "DELETE"])
+            status, _ = await self._send(method, job, key=key)
+            if status == 200:
+                self.checker.breaks("LEAK", f"{method} of {job}: 200 with key {key}")
+
+    async def _try(self, method, job, body=None, statuses=None):
         """Sends a request to one entry VM after the other until it is accepted."""
         for _ in range(ATTEMPTS):
-            entry = random.choice(self._entries)
-            status, _ = await self._request(entry.front, method, PREFIX + job, body)
+            status, _ = await self._send(method, job, body)
+            if statuses is not None:
+                statuses.add(status)
             if status in {200, 410}:
                 return True
             await curio.sleep(0.3)
         return False
 
-    async def _request(self, address, method, path, body=None):
+    async def _send(self, method, job, body=None, key=None):
+        """Sends a request about a job to an entry VM, by default with an own key."""
+        caller, entry = self.jobs[job], random.choice(self._entries)
+        key = key or self._teams.draw_key(caller.team)
+        sent_at = time.monotonic()
+        status, data = await self._request(
+            entry.front, method, caller.path + job, body, key
+        )
+        place = f"{method} of {job} at {entry.name}"
+        self._teams.check_answer(key, sent_at, status, place)
+        return status, data
+
+    async def _request(self, address, method, path, body=None, key=""):
         """Returns status and body of a response; 0 and an empty one without any.
 
         Connections stay open and are used until they fail.
         """
-        headers = [Header("X-Arbutusladder-Request-Deadline-Ms", str(DEADLINE_MS))]
+        headers = [Header("X-Arbutusladder-Request-Deadline-Ms", str(TIMEOUT_MS))]
+        if key:
+            headers.append(Header("X-Api-Key", key))
         data = json.dumps(body).encode() if body else b""
         try:
             response = await self._pool.request(
-                address, method, path, headers, data, DEADLINE_MS / 1000
+                address, method, path, headers, data, TIMEOUT_MS / 1000
             )
         except HttpError:
             return 0, b""
@@ -382,11 +456,12 @@
         """Checks that all accepted jobs end and that no process ended by itself."""
         open_jobs = set(self._accepted)
         began_at = time.monotonic()
+        finish_s = FINISH_S + self._backlog_s()
         while open_jobs:
             for job in list(open_jobs):
                 # A task that has just begun when the last fault ends takes its time.
                 task_s, _ = KINDS[self._kind_by_job[job]]
-                overdue_s = time.monotonic() - began_at - FINISH_S
+                overdue_s = time.monotonic() - began_at - finish_s
                 if await self._read_state(job) in FINAL_STATES:
                     open_jobs.discard(job)
                 elif overdue_s > max(0.0, task_s - LONGEST_USUAL_TASK_S):
@@ -398,6 +473,17 @@
             if not entry.running():
                 self.checker.breaks("ENDED", f"{entry.name} ended by itself")
 
+    def _backlog_s(self):
+        """Returns how long the open jobs may take longer because of caps."""
+        work_s_by_team = Counter()
+        for job in self._accepted:
+            state, _ = self.checker.shown_by_job.get(job, ("", 0.0))
+            if state not in FINAL_STATES:
+                task_s, counts = KINDS[self._kind_by_job[job]]
+                work_s_by_team[self.jobs[job].team] += task_s * sum(counts)
+        cores = CORES * len(self.checker.workers)
+        return self._teams.backlog_s(work_s_by_team, cores)
+
     def _check_claims(self):
         """Checks that each epoch has one holder and that epochs do not go back."""
         holder_by_epoch, newest = {}, 0
@@ -625,6 +711,25 @@
         for worker in self.checker.workers:
             worker.late_share = 0.0
 
+    async def inject_new_keys(self, fault):
+        """Adds and removes keys of teams by new versions of the configuration."""
+        draw, ends_at = random.Random(fault.target), time.monotonic() + fault.seconds
+        while time.monotonic() < ends_at:
+            self._teams.change_key(draw)
+            await self._teams.store()
+            await curio.sleep(draw.uniform(*KEY_CHANGE_S))
+
+    async def inject_new_caps(self, fault):
+        """Lowers the cap of a team and raises it again."""
+        await self._teams.lower_cap(random.Random(fault.target), fault.seconds)
+
+    async def inject_flood(self, fault):
+        """Lets a team send a multiple of its usual jobs, all of them urgent."""
+        factor = FLOOD_FACTOR * TEAMS[FLOODING_TEAM].share
+        flood = await curio.spawn(self._send_jobs, factor, FLOODING_TEAM, ("quote",))
+        await curio.sleep(fault.seconds)
+        await flood.cancel()
+
     async def inject_odd_entry(self, fault):
         """Writes an entry that names no worker; it stays without a duration.
 
@@ -646,25 +751,13 @@
             self._store.put_record("keyed.servers", key, b"")
 
 
-def operator_config(hosts):
-    """Returns an operator's configuration with one queue, which has several hosts."""
-    queue = {
-        "name": "q",
-        "path-prefix": PREFIX,
-        "timeout-ms": DEADLINE_MS,
-        "slo-ms": 250,
-        "service": SERVICE,
-        "max-attempts": MAX_ATTEMPTS,
-        "stretch": 2.0,
-    }
-    return {"version": 1, "routes": [queue | {"host": host} for host in hosts]}
-
-
-def play(plan: list[Fault], entries: int, workers: int, logs: str | None) -> int:
+def play(
+    plan: list[Fault], entries: int, workers: int, logs: str | None, teams: dict
+) -> int:
     """Plays a plan and prints what broke; returns the number of broken rules."""
     directory = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     directory.mkdir(parents=True, exist_ok=True)
-    run = SoakRun(plan, entries, workers, directory)
+    run = SoakRun(plan, entries, workers, directory, teams=teams)
     try:
         run.play()
     finally:
@@ -678,6 +771,8 @@
         f"{checker.starts} starts, {len(checker.broken)} broken rules; jobs shown as "
         f"{dict(states)}; this process was {checker.longest_delay_s():.3f} s late"
     )
+    for (team, priority), counts in count_outcomes(run.jobs, checker).items():
+        print(f"  {team or 'no team'}, priority {priority}: {dict(counts)}")
     return len(run.checker.broken)
 
 
@@ -685,20 +780,23 @@
     """Runs the command; returns its exit code, 1 if a rule was broken."""
     options = docopt(__doc__)
     seconds = float(options["--seconds"])
+    teams = {} if options["--no-teams"] else TEAMS
     if options["plan"]:
-        plan = make_plan(int(options["SEED"]), seconds)
+        plan = make_plan(int(options["SEED"]), seconds, bool(teams))
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
     if options["play"]:
         rows = yaml.safe_load(Path(options["FILE"]).read_text(encoding="utf-8"))
-        return int(play([Fault(**row) for row in rows], *sizes, options["--logs"]) > 0)
+        plan = [Fault(**row) for row in rows]
+        return int(play(plan, *sizes, options["--logs"], teams) > 0)
     first, _, last = options["--seeds"].partition("-")
     failed = []
     for seed in range(int(first), int(last or first) + 1):
         print(f"seed {seed}: ", end="", flush=True)
         logs = options["--logs"]
-        if play(make_plan(seed, seconds), *sizes, logs and f"{logs}/{seed}"):
+        plan = make_plan(seed, seconds, bool(teams))
+        if play(plan, *sizes, logs and f"{logs}/{seed}", teams):
             failed.append(seed)
     print(f"failed seeds: {failed}")
     return int(bool(failed))
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -1,8 +1,10 @@
 """Workers of the fault soak, and the rules as they can be seen at them."""
 
 import itertools
+import math
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
 
@@ -66,6 +68,9 @@
         faults: Kinds of the faults in progress.
         calm_since: Monotonic time of the end of the last fault.
         delays: Times by which this process was late, each with its monotonic time.
+        team_by_job: Teams of the submitted jobs; empty for jobs without one.
+        highest_cap: Returns the highest cap of a team, in tasks, that may be in force
+            for an order that arrives at a monotonic time.
     """
 
     workers: list["SoakWorker"] = field(default_factory=list)
@@ -81,9 +86,18 @@
     faults: list[str] = field(default_factory=list)
     calm_since: float = field(default_factory=time.monotonic)
     delays: list[tuple[float, float]] = field(default_factory=list)
-
-    def check_start(self, worker: "SoakWorker", task: str, number: int, late: bool):
-        """Checks the rules for a run that begins."""
+    team_by_job: dict[str, str] = field(default_factory=dict)
+    highest_cap: Callable[[str, float], float] = lambda team, ordered_at: math.inf
+
+    def check_start(
+        self,
+        worker: "SoakWorker",
+        task: str,
+        number: int,
+        late: bool,
+        ordered_at: float = 0.0,
+    ):
+        """Checks the rules for a run that begins by an order of a monotonic time."""
         self.starts += 1
         self.started_at_by_task.setdefault(task, []).append(time.monotonic())
         place = f"{task} run {number} on {worker.name}"
@@ -105,9 +119,21 @@
             earlier = f"{name.job_id}.{name.occurrence}.{name.step - 1}.{index}"
             if earlier not in self.done_by_task:
                 self.breaks("ORDER", f"{place} before {earlier} was done")
+        self._check_cap(place, name.job_id, ordered_at)
         if not late:
             self._check_late_start(place, name.job_id)
 
+    def _check_cap(self, place, job, ordered_at):
+        """Checks what the team runs, with the run that begins; tasks need a core."""
+        team = self.team_by_job.get(job)
+        if not team:
+            return
+        names = [parse_task_name(task) for w in self.workers for task in w.running]
+        count = 1 + sum(self.team_by_job.get(name.job_id) == team for name in names)
+        cap = self.highest_cap(team, ordered_at)
+        if count > cap:
+            self.breaks("CAP", f"{place}: {team} runs {count} tasks, its cap is {cap}")
+
     def _check_late_start(self, place, job):
         now = time.monotonic()
         cancelled_at = self.cancelled_at_by_job.get(job)
@@ -262,6 +288,7 @@
 
     async def handle(self, request):
         """Handles a request; it gets no answer across a cut or a crash."""
+        arrived_at = time.monotonic()
         if self.silent:
             await curio.sleep(3600)
         late = request.path == "/v1/run-start" and random.random() < self.late_share
@@ -273,7 +300,7 @@
         while self.down:
             await curio.sleep(RESTART_POLL_S)
         born = self.born
-        self._is_late_order = late
+        self._is_late_order, self._ordered_at = late, arrived_at
         answer = await super().handle(request)
         if late or self.silent or self.down or self.born != born:
             await curio.sleep(3600)
@@ -285,7 +312,8 @@
         accepted = body["deadline-ms"] > self.clock_ms()
         known = number <= self.ended_runs.get(task, 0) or (run and run.number == number)
         if accepted and not known:
-            self._checker.check_start(self, task, number, self._is_late_order)
+            late, ordered_at = self._is_late_order, self._ordered_at
+            self._checker.check_start(self, task, number, late, ordered_at)
         if not (accepted and run and not known):
             self.task_s = self._task_s(task)
             return await super()._start(body)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.platform.soak import Fault, SoakRun, make_plan
+from tests.platform.soakteams import TEAMS
 
 # Few jobs, so that a busy machine can still finish them in time.
 ARRIVALS_PER_S = 4.0
@@ -78,3 +79,12 @@
         run.play()
         assert run.checker.starts > 0
         assert run.checker.broken == []
+
+    def test_no_rule_about_teams_is_broken(self, tmp_path):
+        """Guards against removed keys that are accepted and caps that are exceeded."""
+        plan = make_plan(2, 12.0, teams=True)
+        run = SoakRun(plan, ENTRIES, WORKERS, tmp_path, ARRIVALS_PER_S, TEAMS)
+        run.play()
+        assert run.checker.starts > 0
+        assert len(run._teams.versions) > 1
+        assert run.checker.broken == []
