Preview: compare urgent work with the share of its team, as placement does

The copy of the state had no usage of urgent work, so that a preview took a team for within its share for urgent steps whatever it had running.

--- a/arbutusladder/cell/preview/decision.py
+++ b/arbutusladder/cell/preview/decision.py
@@ -23,6 +23,7 @@
 from arbutusladder.cell.preview.statecopy import PreviewPlacer, copy_state
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import JobPhase, WaitCause
+from arbutusladder.cell.steppriority import URGENT_PRIORITY
 from arbutusladder.cell.teamusage.fairness import FairShares
 from arbutusladder.errors import NoRoom
 from arbutusladder.ids import Epoch, JobId, VmId
@@ -105,13 +106,14 @@
             total = add(total, worker.entry.capacity)
     charged = ledger.charged(record.team)
     waiting = _waiting_stages(cell.job_by_id.values(), now)
+    is_urgent = record.queue.priority <= URGENT_PRIORITY
     return TeamPreview(
         record.team,
         terms.weight,
         charged,
         terms.cap,
         weighted_share(charged, total, terms.weight),
-        FairShares(ledger, total, waiting).is_over(record.team),
+        FairShares(ledger, total, waiting).is_over(record.team, is_urgent),
     )
 
 
--- a/arbutusladder/cell/preview/remedies.py
+++ b/arbutusladder/cell/preview/remedies.py
@@ -71,8 +71,8 @@
     return (
         f"other work has to end: the step starts {tasks} of {need}; of {len(usable)} "
         f"workers with {kind} that accept tasks, the one with most free cores has "
-        f"{format_amount(most)}; {URGENT_RESERVE:.0%} of the cores are kept for urgent "
-        "work, and waiting gangs reserve workers"
+        f"{format_amount(most)}; {URGENT_RESERVE:.0%} of the cores and memory "
+        "are kept for urgent work, and waiting gangs reserve workers"
     )
 
 
--- a/arbutusladder/cell/preview/statecopy.py
+++ b/arbutusladder/cell/preview/statecopy.py
@@ -79,6 +79,7 @@
     ledger.limits = limits
     teams = {*cell.team_ledger.used_by_team, *limits.terms_by_name}
     ledger.used_by_team = {team: cell.team_ledger.charged(team) for team in teams}
+    ledger.urgent_usage.used_by_team = dict(cell.team_ledger.urgent_usage.used_by_team)
     return ledger
 
 
