Event log: say why a run that a worker lists again counted as ended

Nothing in the log told which copy of a start order a worker may have executed, for which incarnation and under which token it was sent, nor why a run counted as ended; 464 gave a number of runs. 464 names the runs now, 481 is written for each order without an answer, and 482 when a worker lists a run that counted as ended, with the cause.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -21,6 +21,7 @@
 )
 from arbutusladder.cell.interference.tracker import InterferenceTracker
 from arbutusladder.cell.joblimits import JobLimits
+from arbutusladder.cell.lostruns import LostRuns, describe_runs
 from arbutusladder.cell.pendingchanges import PendingChanges
 from arbutusladder.cell.performance.tracker import PerformanceTracker
 from arbutusladder.cell.reports import ReportProcessor
@@ -86,6 +87,7 @@
         drain_ratios: Actual run times of queues relative to their estimates.
         performance: Learnt speeds of workers and durations of tasks.
         interference: Learnt effects of tasks on one another, and paces of fillers.
+        lost_runs: Runs that counted as ended without an end that a worker reported.
     """
 
     def __init__(
@@ -110,6 +112,7 @@
         self.team_ledger = TeamLedger()
         self.changes = PendingChanges()
         self.drain_ratios = DrainRatios()
+        self.lost_runs = LostRuns()
         self.interference = InterferenceTracker(self.record_event)
         self.performance = PerformanceTracker(self.record_event, self.interference)
         self._token_number_by_vm: dict[VmId, int] = {}
@@ -476,16 +479,48 @@
         self.changes.pending_events.append((event, fields))
 
     def record_runs_lost(
-        self, worker: Worker, runs: int, cause: str, now: float
+        self, worker: Worker, runs: list[Run], cause: str, now: float
     ) -> None:
-        """Queues the event of runs that a worker no longer has."""
+        """Records runs that a worker no longer has, and queues the event."""
+        for run in runs:
+            self.lost_runs.add(run, cause, worker.born, now)
         self.record_event(
             events.RUNS_LOST,
             worker=worker.entry.vm,
-            runs=runs,
+            runs=len(runs),
             cause=cause,
             born=worker.born,
             leases=worker.lease_s_left(now),
+            named=describe_runs(runs, now),
+        )
+
+    def record_listed(
+        self, worker: Worker, task: str, number: int, state: str, now: float
+    ) -> None:
+        """Queues an event if a run that a worker lists has counted as ended.
+
+        Args:
+            worker: The worker.
+            task: Name of the task.
+            number: Number of the run.
+            state: How the worker lists it.
+            now: Monotonic time in seconds.
+        """
+        vm = worker.entry.vm
+        lost = self.lost_runs.take(vm, (task, number))
+        if lost is None:
+            return
+        self.record_event(
+            events.LOST_RUN_LISTED,
+            worker=vm,
+            born=worker.born,
+            task=task,
+            run=number,
+            state=state,
+            seconds=now - lost.lost_at,
+            cause=lost.cause,
+            former=lost.born,
+            unanswered=lost.unanswered,
         )
 
     def create_run(
@@ -578,7 +613,7 @@
             now: Monotonic time in seconds.
         """
         if runs:
-            self.record_runs_lost(worker, len(runs), cause, now)
+            self.record_runs_lost(worker, runs, cause, now)
         for run in runs:
             self.end_run(worker, run)
 
@@ -605,6 +640,7 @@
         outcome: OrderOutcome,
         now: float,
     ) -> None:
+        self.lost_runs.add(run, outcome.value, worker.born, now)
         self.end_run(worker, run)
         match outcome:
             case OrderOutcome.TICKET_INVALID:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -675,9 +675,21 @@
         worker.record_order(run, now)
         number = worker.token_number
         token = fencing_token(self.epoch, number)
+        copies = run.copies
         answer = await self._dependencies.orders.start(
             worker.entry, order, token, lease_end
         )
+        if answer.outcome is OrderOutcome.UNKNOWN:
+            self._dependencies.journal.write(
+                events.ORDER_UNANSWERED,
+                copy=copies,
+                task=order.task,
+                run=order.run,
+                worker=order.vm,
+                seconds=self._clock.now() - now,
+                token=number,
+                born=run.ordered_born,
+            )
         return self.state.resolve_fencing(order.vm, answer, number)
 
     async def _send_run_order(self, order: StopOrder | PaceOrder) -> None:
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -72,6 +72,10 @@
         run = worker.run_by_key.get((ended.task, ended.run))
         if run:
             self._cell.end_run(worker, run)
+        else:
+            self._cell.record_listed(
+                worker, ended.task, ended.run, ended.how.value, now
+            )
         if stage is None or index >= len(stage.tasks):
             return
         task = stage.tasks[index]
@@ -114,6 +118,7 @@
         run = worker.run_by_key.get((row.task, row.run))
         stage, index = self._cell.find_task(row.task)
         if run is None:
+            self._cell.record_listed(worker, row.task, row.run, "running", now)
             run = self._adopt_run(worker, row, stage, index, now)
         run.listed = True
         if stage and stage.job.phase is JobPhase.QUEUED:
@@ -210,7 +215,7 @@
 
     def _end_missing_runs(
         self, worker: Worker, report: WorkerReport, listed: set, sent_at: float
-    ) -> int:
+    ) -> list[Run]:
         """Ends runs that a worker lists neither as running nor as ended.
 
         A run counts as missing if the renewal was sent under a higher token than all
@@ -219,15 +224,15 @@
         confirmed. An earlier report may be older than the run.
 
         Returns:
-            The number of runs that were ended.
+            The runs that were ended.
         """
-        missing = 0
+        missing = []
         for run in list(worker.run_by_key.values()):
             if run.key in listed:
                 continue
             if 0 <= run.token_number < report.token_number:
                 self._cell.end_run(worker, run)
-                missing += 1
+                missing.append(run)
                 continue
             if run.stop_answered_at is not None:
                 known_at = run.stop_answered_at
@@ -237,5 +242,5 @@
                 continue
             if sent_at > known_at:
                 self._cell.end_run(worker, run)
-                missing += 1
+                missing.append(run)
         return missing
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -42,6 +42,7 @@
             this owner sent none.
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
+        copies: Number of orders to start it that were sent.
         team: Team of its job; empty if it has none or is not known.
         charge: Resources charged to the team until the run has ended.
         urgent: Whether its queue is urgent.
@@ -75,6 +76,7 @@
     ordered_at: float | None = None
     ordered_born: int = 0
     token_number: int = -1
+    copies: int = 0
     team: TeamName = ""
     charge: Resources = field(default_factory=Resources)
     urgent: bool = False
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -184,7 +184,21 @@
     464,
     Level.WARNING,
     "lost {runs} runs on worker {worker}: {cause}; incarnation {born}, its leases end "
-    "in {leases:.3f} s",
+    "in {leases:.3f} s; task:run(phase, ? for an order without an answer, time since "
+    "the last order) {named}",
+)
+ORDER_UNANSWERED = Event(
+    481,
+    Level.INFO,
+    "order {copy} to start run {run} of task {task} on worker {worker} got no answer: "
+    "sent {seconds:.3f} s before under token number {token}, incarnation {born}",
+)
+LOST_RUN_LISTED = Event(
+    482,
+    Level.WARNING,
+    "worker {worker}, incarnation {born}, lists run {run} of task {task} as {state}; "
+    "it counted as ended {seconds:.3f} s before: {cause}, incarnation {former}, order "
+    "without an answer: {unanswered}",
 )
 WORKER_INCARNATION_BEGAN = Event(
     474,
