--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -114,11 +114,22 @@
     new incarnation takes of them gives it the longest lease.
     """
 
-    def make_cell(self, renewed_at):
-        """Returns a cell whose worker has been cut off after the report of its run."""
+    def make_cell(self, renewed_at, is_ordered=False):
+        """Returns a cell whose worker has been cut off after the report of its run.
+
+        ``is_ordered`` is whether it has not answered the order of another run.
+        """
         cell = RestartingWorker()
         cell.worker.grant_lease(NOW, LEASE_S)
         cell.worker.grant_lease(renewed_at, LEASE_S)
+        if is_ordered:
+            record = workloads.quote(2, count=1)
+            progress = JobProgress(JobPhase.QUEUED)
+            job = cell.state.add_job(record, progress, renewed_at)
+            stage = next(iter(job.stage_by_key.values()))
+            vm = ENTRY.vm
+            run = cell.state.create_run(stage, 0, 1, vm, RunPhase.SENT, renewed_at)
+            cell.worker.record_order(run, renewed_at)
         number = cell.worker.token_number
         cell.report(NEW, renewed_at + 0.1, running=[1], number=number)
         cell.worker.record_missed_renewal(renewed_at + 0.2)
@@ -129,9 +140,12 @@
         cell = self.make_cell(NOW + 0.5)
         assert not is_over(cell, NOW + 0.5 + LONGEST_S - 0.1)
 
-    def test_renewal_that_is_carried_out_late_is_waited_for(self):
-        """Guards against a late renewal that extends the lease behind the cut."""
-        cell = self.make_cell(NOW + 0.5)
+    def test_order_of_another_task_that_is_carried_out_late(self):
+        """Guards against a late order that extends all leases behind the cut.
+
+        The worker takes its deadline even if it refuses the run for lack of room.
+        """
+        cell = self.make_cell(NOW + 0.5, is_ordered=True)
         assert not is_over(cell, NOW + 0.5 + MAX_ORDER_DELAY_S + LONGEST_S - 0.1)
 
 
