Tests of later calls to a restarted worker and of the order of ends

Cause: two further ways to take a run for ended, found by reading. The platform's pages say that the numbers of ends rise, not that a list is sorted. Change: one test for each.

--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -12,6 +12,7 @@
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.claimlists import silent_workers
 from arbutusladder.cell.interfaces import (
+    EndedTask,
     OrderAnswer,
     RunningTask,
     StartOrder,
@@ -21,7 +22,7 @@
 from arbutusladder.cell.owner import PREDECESSOR_RENEWAL_WINDOW_S
 from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.runorders import RunOrderSender
-from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
+from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, longest_lease_s
 from arbutusladder.messages import CellClaim, JobProgress
 from arbutusladder.metrics import Metrics
@@ -167,6 +168,42 @@
         assert not is_over(cell, NOW + LONGEST_S - 0.1)
 
 
+class TestLaterCallsToARestartedWorker:
+    """Pattern: an order is accepted between a restart and the sign of it.
+
+    Further calls are sent until then, and one is carried out late behind a cut.
+    """
+
+    def test_wait_counts_from_the_newest_call(self):
+        """Guards against a wait that counts from the order of the run itself."""
+        cell = RestartingWorker()
+        cell.worker.grant_lease(NOW, LEASE_S)
+        cell.answer(ACCEPTED, NOW + 0.1)
+        newest = NOW + 2.4
+        cell.worker.grant_lease(newest, LEASE_S)
+        cell.worker.record_missed_renewal(newest)
+        cell.register(NEW, newest + 0.1)
+        assert not is_over(cell, newest + MAX_ORDER_DELAY_S + LONGEST_S - 0.1)
+
+
+class TestOrderOfEnds:
+    """Pattern: a worker lists its ends in another order than that of their numbers."""
+
+    def test_each_end_counts(self):
+        """Guards against a run that ended as done and counts as missing."""
+        cell = RestartingWorker()
+        cell.answer(ACCEPTED, NOW + 0.1)
+        other = f"{workloads.job_id(9)}.0.0.0"
+        ended = [
+            EndedTask(2, other, 1, EndKind.DONE, ""),
+            EndedTask(1, cell.order.task, 1, EndKind.DONE, ""),
+        ]
+        number = cell.worker.token_number
+        report = WorkerReport(OLD, 1.0, [], ended, number)
+        cell.state.apply_report(ENTRY.vm, report, NOW + 0.9, NOW + 1.0)
+        assert cell.task.done
+
+
 class TestExcludedOnOneIncarnation:
     """Pattern: an order without an answer is excluded, and the worker restarts again.
 
