Test of 421 to a stop: the run's order is in doubt

Cause: the test stopped a run whose order had not been sent, which an owner does not do. Change: the order is sent and gets no answer before the stop, as strict as before.

--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -293,6 +293,9 @@
 
         orders.stop = stop
         order = make_order(owner, clock)
+        worker = owner.state.worker_by_vm[order.vm]
+        worker.record_order(worker.run_by_key[order.task, order.run], clock.now())
+        owner.state.apply_start_answer(order, NO_ANSWER, clock.now())
         sender = RunOrderSender(1, owner.state, orders, Metrics(), clock)
         stop_order = StopOrder(order.vm, order.task, order.run)
         run_in_virtual_time(sender.send, stop_order)
