Keep a run in doubt if a report lists it before its order is answered

What callers saw: two runs of a task at once. An order that gets no answer is repeated, so two copies are under way and one may be executed up to 12 s later, also by the next incarnation of the worker. Whether a copy has no answer was recorded with the answer to the repeat, and only if no report had listed the run until then. Otherwise the run counted as settled: a restart of the worker or the end of its leases ended it, and its task was started elsewhere while the copy was still on its way.

The number of copies without an answer is now counted when they are sent and answered. A run that is listed has consumed one of them, so a single order that was executed leaves no doubt. The cell of TestReportBeforeTheAnswer records the second copy that its text speaks of.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -295,10 +295,12 @@
         worker, run = self._find_run(order)
         if answer.outcome is OrderOutcome.FENCED:
             self.changes.fenced = True
-        if run is None or run.phase is not RunPhase.SENT:
+        if run is None:
+            return
+        run.record_start_answer(answer)
+        if run.phase is not RunPhase.SENT:
             return
         run.changed_at = now
-        run.in_doubt = answer.in_doubt or answer.outcome is OrderOutcome.UNKNOWN
         if answer.outcome is OrderOutcome.ACCEPTED:
             run.phase = RunPhase.RUNNING
             run.progressed_at = run.observed_at = now
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -3,7 +3,8 @@
 import math
 from dataclasses import dataclass, field
 
-from arbutusladder.cell.states import RunPhase
+from arbutusladder.cell.interfaces import OrderAnswer
+from arbutusladder.cell.states import OrderOutcome, RunPhase
 from arbutusladder.ids import JobId, TeamName, VmId
 from arbutusladder.messages import Resources, StepSpec
 
@@ -35,14 +36,14 @@
         stop_answered_at: Monotonic time in seconds at which a worker accepted a stop
             order; None before that.
         proven: Whether it has counted as a success although it has not ended.
-        in_doubt: Whether an order to start it got no answer, so that it may still be
-            executed, also after a restart of the worker.
         listed: Whether the worker has reported it as running.
         ordered_at: Monotonic time in seconds of the last order to start it; None if
             this owner sent none.
         ordered_born: Newest incarnation of the worker that was known then.
         token_number: Number of the token of that order.
         copies: Number of orders to start it that were sent.
+        unanswered: Number of those without an answer.
+        accepted: Whether the worker has accepted one of the others.
         team: Team of its job; empty if it has none or is not known.
         charge: Resources charged to the team until the run has ended.
         urgent: Whether its queue is urgent.
@@ -71,12 +72,13 @@
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
     proven: bool = False
-    in_doubt: bool = False
     listed: bool = False
     ordered_at: float | None = None
     ordered_born: int = 0
     token_number: int = -1
     copies: int = 0
+    unanswered: int = 0
+    accepted: bool = False
     team: TeamName = ""
     charge: Resources = field(default_factory=Resources)
     urgent: bool = False
@@ -91,6 +93,23 @@
         """Whether it runs until its job is cancelled."""
         return self.spec is not None and self.spec.lasting
 
+    @property
+    def in_doubt(self) -> bool:
+        """Whether an order to start it may still be executed, also after a restart.
+
+        A run that is listed without an accepted order was started by one of those
+        without an answer. An order is executed once at most.
+        """
+        executed = 1 if self.listed and not self.accepted else 0
+        return self.unanswered > executed
+
+    def record_start_answer(self, answer: OrderAnswer) -> None:
+        """Records the answer to the last order to start it, in whatever phase it is."""
+        if answer.outcome is OrderOutcome.UNKNOWN:
+            return
+        self.accepted |= answer.outcome is OrderOutcome.ACCEPTED
+        self.unanswered = max(1, self.unanswered - 1) if answer.in_doubt else 0
+
     @property
     def key(self) -> RunKey:
         """Task name and run number, which identify the run."""
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -144,6 +144,7 @@
         self.token_used = True
         run.ordered_at = now
         run.copies += 1
+        run.unanswered += 1
         run.ordered_born, run.token_number = self.born, self.token_number
 
     def confirm(self, clock: float, now: float, max_lease_s: float) -> None:
--- a/tests/cell/test_restartedworker.py
+++ b/tests/cell/test_restartedworker.py
@@ -418,3 +418,36 @@
         worker = self.make_state(age_s=40.0)
         assert not worker.leases_expired(NOW + 5.2)
         assert worker.leases_expired(NOW + 5.4)
+
+
+class TestListedBeforeTheAnswer:
+    """Pattern: a report lists a run before its order is answered."""
+
+    def test_copy_whose_answer_is_still_awaited_counts(self, way):
+        """Guards against a restart between the report and the answer to a repeat."""
+        cell = RestartingWorker()
+        cell.worker.record_order(cell.task.runs[0], NOW + 0.4)
+        cell.report(OLD, NOW + 0.45, running=[1])
+        number = cell.worker.token_number
+        cell.restart(way, NOW + 0.6)
+        cell.report(NEW, NOW + 0.7, number=number)
+        assert not cell.task.is_waiting
+
+    def test_run_that_its_only_order_has_started_is_settled(self, way):
+        """Guards against tasks that wait for an order which was executed."""
+        cell = RestartingWorker()
+        cell.report(OLD, NOW + 0.45, running=[1])
+        cell.answer(OrderAnswer(OrderOutcome.UNKNOWN), NOW + 0.5)
+        cell.restart(way, NOW + 0.6)
+        cell.report(NEW, NOW + 0.7)
+        assert cell.task.is_waiting
+
+    def test_answer_without_a_doubt_settles_the_run(self, way):
+        """Guards against tasks that wait for orders which were answered."""
+        cell = RestartingWorker()
+        cell.worker.record_order(cell.task.runs[0], NOW + 0.4)
+        cell.report(OLD, NOW + 0.45, running=[1])
+        cell.answer(ACCEPTED, NOW + 0.5)
+        cell.restart(way, NOW + 0.6)
+        cell.report(NEW, NOW + 0.7)
+        assert cell.task.is_waiting
--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -63,6 +63,7 @@
         """Returns a cell whose worker has a lease and has reported the run."""
         cell = RestartingWorker()
         cell.worker.grant_lease(NOW, LEASE_S)
+        cell.worker.record_order(cell.task.runs[0], NOW + 0.4)
         cell.report(OLD, NOW + 0.5, running=[1])
         cell.answer(answer, NOW + 0.6)
         return cell
