Wait for all calls that the next incarnation of a silent worker may execute

What callers saw: two runs of a task at once, the first one never stopped. The owner took a run on a silent worker for ended when the leases that it had granted had ended, unless it knew of a restart and the run was not listed.

- an order that was accepted may have been accepted by such an incarnation, and a call for the former clock gives it the longest lease, up to 0.8 s more than the owner counted, or as long again after a renewal that is carried out late;
- after a report that shows a restart and was requested under the token of earlier calls, the leases were still those of the former clock.

A run on a silent worker now ends with the leases only if a report of the present, confirmed incarnation has listed it, or the one that listed it has ended. This costs a silent worker's runs of its last half second 13 s.

test_order_ends_with_its_lease_without_a_restart asserted that an order without an answer has ended with its lease if no restart is known. That was the fault; its replacement asserts both bounds, for an order that nothing shows and for a run that was listed. The test of the team's charge waits as long, and asserts that nothing starts after the lease.

--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -120,7 +120,7 @@
         if run is None:
             self._cell.record_listed(worker, row.task, row.run, "running", now)
             run = self._adopt_run(worker, row, stage, index, now)
-        run.listed = True
+        run.listed_born = worker.born
         if stage and stage.job.phase is JobPhase.QUEUED:
             self._cell.record_begin(run)
         if run.phase is RunPhase.SENT:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -42,6 +42,15 @@
     return lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_END_MARGIN_S
 
 
+def latest_order_end_s(max_lease_s: float) -> float:
+    """Returns the seconds after which a run by an order without an answer has ended.
+
+    Args:
+        max_lease_s: Longest lease in seconds that a worker accepts.
+    """
+    return MAX_ORDER_DELAY_S + longest_lease_s(max_lease_s)
+
+
 @dataclass(slots=True, eq=False)
 class Worker:
     """A worker, through all its incarnations.
@@ -92,6 +101,7 @@
     token_used: bool = False
     restart_confirmed: bool = False
     _restarted: bool = False
+    _called_at: float = -math.inf
     _clock: float | None = None
     _clock_received_at: float = 0.0
     _leases_expire_at: float | None = None
@@ -142,7 +152,7 @@
     def record_order(self, run: Run, now: float) -> None:
         """Records that an order to start a run is sent."""
         self.token_used = True
-        run.ordered_at = now
+        self._called_at = run.ordered_at = now
         run.copies += 1
         run.unanswered += 1
         run.ordered_born, run.token_number = self.born, self.token_number
@@ -249,6 +259,7 @@
         max_duration_s = longest_lease_s(lease_end - self._clock)
         expires_at = self._clock_received_at + max_duration_s
         self._leases_expire_at = max(self._leases_expire_at or 0.0, expires_at)
+        self._called_at = now
         self.token_used = True
         return lease_end
 
@@ -269,8 +280,9 @@
         """Returns whether a run on the silent worker has ended, or never begins.
 
         A run that was reported ends with the leases, or with its incarnation. An order
-        without a report of its run may be executed by an incarnation that has begun
-        since, under a lease that this makes longer.
+        without an answer may be executed by an incarnation that has begun since, known
+        or not. Such an incarnation may also have accepted an order, and any call that
+        was sent for the former clock may give it the longest lease.
 
         Args:
             run: The run.
@@ -279,11 +291,14 @@
         """
         if not self.leases_expired(now):
             return False
-        is_settled = run.listed and not run.in_doubt
-        if is_settled or run.ordered_at is None or run.ordered_born == self.born:
+        latest_end_s = latest_order_end_s(max_lease_s)
+        if run.in_doubt:
+            return now > run.ordered_at + latest_end_s
+        is_of_former_incarnation = 0 < run.listed_born < self.born
+        is_confirmed = run.listed and not self._restarted
+        if is_of_former_incarnation or is_confirmed:
             return True
-        longest_s = MAX_ORDER_DELAY_S + longest_lease_s(max_lease_s)
-        return now > run.ordered_at + longest_s
+        return now > self._called_at + latest_end_s
 
     def assume_lease(self, expires_at: float) -> None:
         """Records that a previous owner may have granted a lease.
--- a/tests/cell/test_restartedworker.py
+++ b/tests/cell/test_restartedworker.py
@@ -299,12 +299,26 @@
         assert not self.is_over(cell, NOW + 5.0)
         assert self.is_over(cell, NOW + 5.4)
 
-    def test_order_ends_with_its_lease_without_a_restart(self):
-        """Guards against waiting for an incarnation that has not begun."""
+    def test_order_may_be_executed_by_an_incarnation_that_nothing_shows(self):
+        """Guards against an order that is executed after a restart behind the cut.
+
+        Neither the registry nor a report shows the incarnation before that.
+        """
         cell = RestartingWorker()
         cell.worker.grant_lease(NOW, 5.0)
         cell.answer(OrderAnswer(OrderOutcome.UNKNOWN), NOW + 0.8)
         self.cut_off(cell, NOW + 0.5)
+        end = NOW + MAX_ORDER_DELAY_S + self.LONGEST_S
+        assert not self.is_over(cell, end - 0.1)
+        assert self.is_over(cell, end + 0.1)
+
+    def test_listed_run_ends_with_its_lease_without_a_restart(self):
+        """Guards against waiting for an order that was executed."""
+        cell = RestartingWorker()
+        cell.worker.grant_lease(NOW, 5.0)
+        cell.answer(ACCEPTED, NOW + 0.1)
+        cell.report(OLD, NOW + 0.3, running=[1])
+        self.cut_off(cell, NOW + 0.5)
         assert self.is_over(cell, NOW + 5.4)
 
     def test_answer_to_an_order_does_not_set_the_clock(self):
--- a/tests/cell/test_teamusage.py
+++ b/tests/cell/test_teamusage.py
@@ -19,6 +19,7 @@
 from arbutusladder.cell.states import JobPhase, OrderOutcome, WaitCause
 from arbutusladder.cell.teamusage.caps import check_caps
 from arbutusladder.cell.teamusage.ledger import recount
+from arbutusladder.cell.workers import latest_order_end_s
 from arbutusladder.errors import JobExceedsCap
 from arbutusladder.ids import RequestId
 from arbutusladder.messages import (
@@ -203,8 +204,11 @@
 class TestRunsInDoubt:
     """Pattern: a worker falls silent while an order to it is unanswered."""
 
-    def test_run_is_charged_until_its_leases_have_lapsed(self):
-        """Guards against a start on another worker while the first may still run."""
+    def test_run_is_charged_until_its_order_has_no_effect(self):
+        """Guards against a start on another worker while the first may still run.
+
+        The next incarnation of the worker may execute the order after the leases.
+        """
         cell = Cell(limits(a=4.0))
         cell.add(of_team("a", workloads.audit(1, count=2, cpu=4.0)))
         (order,) = cell.start()
@@ -216,7 +220,10 @@
         worker.record_missed_renewal(NOW + 1.0)
         assert cell.start(NOW + 1.1) == [] and cell.charged_cpu() == 4.0
         cell.state.expire_leases(NOW + 6.0)
-        assert len(cell.start(NOW + 6.0)) == 1 and cell.charged_cpu() == 4.0
+        assert cell.start(NOW + 6.0) == [] and cell.charged_cpu() == 4.0
+        end = NOW + latest_order_end_s(cell.state.max_lease_s) + 0.1
+        cell.state.expire_leases(end)
+        assert len(cell.start(end)) == 1 and cell.charged_cpu() == 4.0
 
     def test_reported_run_of_an_unknown_job_is_charged(self):
         """Guards against a start beside a run that is only being stopped."""
