Assume the predecessor's leases on a worker whose entry returns after a takeover

What callers saw: two runs of a task at once, both ordered by one entry VM, neither by a late order; nobody stopped the first, which ended as done and was acknowledged.

The entry of a worker lapses, for instance while the store is away, and the owner is killed and starts again, also under its own name. The successor assumed the leases of its predecessor only for the workers that the registry listed at the takeover. When the entry returned, the worker counted as one without any lease. Its first report named the run and ended the wait for it, and until the next claim was stored it got no lease of the successor. A single missed renewal in that time ended its runs at once, up to 5.3 s before the predecessor's lease did.

A worker that is created while the owner still waits for its report gets the end of that wait as the end of inherited leases; its report shortens it, as for all others.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -181,6 +181,8 @@
             if worker is None:
                 worker = self.worker_by_vm[vm] = Worker.create(entry)
                 worker.token_number = self._token_number_by_vm.pop(vm, 0)
+                # Its entry may have been missing at the takeover.
+                worker.assume_lease(self.unreported.leases_end_at(vm))
             elif entry.born >= worker.born:
                 if entry.born > worker.born:
                     self.begin_incarnation(worker, entry.born, now, "registry")
--- a/arbutusladder/cell/unreported.py
+++ b/arbutusladder/cell/unreported.py
@@ -10,6 +10,7 @@
 only these jobs have to wait for such a worker, and not all jobs of the cell.
 """
 
+import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -58,6 +59,15 @@
         jobs = None if job_ids is None else frozenset(job_ids)
         self._unreported_by_vm[vm] = _Unreported(until, jobs)
 
+    def leases_end_at(self, vm: VmId) -> float:
+        """Returns when every lease of a predecessor on a worker has ended.
+
+        Returns:
+            Monotonic time in seconds; -inf for a worker that is not waited for.
+        """
+        row = self._unreported_by_vm.get(vm)
+        return row.until if row else -math.inf
+
     def remove(self, vm: VmId) -> bool:
         """Removes a worker that has listed all; returns whether it was in the list."""
         return self._unreported_by_vm.pop(vm, None) is not None
