Keep a task from starting again while an order for it may still be executed

What callers saw: two runs of a task at once, on two workers. An order to start it got no answer. A report under a raised token, a stop, or a refusal as old showed that the worker did not have the run, so the owner ended it and started the task elsewhere.

Cause: proof that one incarnation does not execute an order was taken for proof that no incarnation does. Only time excludes that: 12 s after the order a complete report shows what has come of it; a silent worker's run has ended after the longest lease besides. Until then the run is unsettled: its room on the worker is free, its task starts under no other number, and if the worker lists it, it goes on as the task's run. An answer to the order, however late, settles it at once.

An order without an answer is repeated up to four times instead of once, on the same worker and under the same number, since nothing else could start before.

test_run_in_doubt_ends_once_its_order_is_excluded and the test after it asserted that the task may start elsewhere after the exclusion by one incarnation, which is the fault. Their replacements assert that the room is free then, that the task waits, and until when. A second order without an answer now needs its own test, as there are more.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -25,13 +25,14 @@
 from arbutusladder.cell.pendingchanges import PendingChanges
 from arbutusladder.cell.performance.tracker import PerformanceTracker
 from arbutusladder.cell.reports import ReportProcessor
-from arbutusladder.cell.runs import Run
+from arbutusladder.cell.runs import Run, RunKey
 from arbutusladder.cell.stages import Stage, stage_key
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
 from arbutusladder.cell.teamusage.ledger import TeamLedger
 from arbutusladder.cell.unreported import UnreportedWorkers
+from arbutusladder.cell.unsettledruns import UnsettledRuns
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, longest_lease_s
 from arbutusladder.errors import JobTooLarge
 from arbutusladder.events import Event
@@ -87,6 +88,7 @@
         drain_ratios: Actual run times of queues relative to their estimates.
         performance: Learnt speeds of workers and durations of tasks.
         interference: Learnt effects of tasks on one another, and paces of fillers.
+        unsettled: Runs that are not on their worker, but that an order may still start.
         lost_runs: Runs that counted as ended without an end that a worker reported.
     """
 
@@ -112,6 +114,7 @@
         self.team_ledger = TeamLedger()
         self.changes = PendingChanges()
         self.drain_ratios = DrainRatios()
+        self.unsettled = UnsettledRuns()
         self.lost_runs = LostRuns()
         self.interference = InterferenceTracker(self.record_event)
         self.performance = PerformanceTracker(self.record_event, self.interference)
@@ -297,9 +300,13 @@
         worker, run = self._find_run(order)
         if answer.outcome is OrderOutcome.FENCED:
             self.changes.fenced = True
+        if run is None:
+            run = self.unsettled.get(order.vm, (order.task, order.run))
         if run is None:
             return
         run.record_start_answer(answer)
+        if run.phase is RunPhase.UNSETTLED and not run.in_doubt:
+            self._settle(run)
         if run.phase is not RunPhase.SENT:
             return
         run.changed_at = now
@@ -404,6 +411,10 @@
                 if worker.is_run_over(run, now, self.max_lease_s)
             ]
             self._end_lost_runs(worker, lost, "lapsed", now)
+            for run in lost:
+                self._settle(run)
+        for run in self.unsettled.settled(self.worker_by_vm, now, self.max_lease_s):
+            self._settle(run)
         granted = {
             vm
             for vm in self.unreported.vms
@@ -622,7 +633,9 @@
             self.end_run(worker, run)
 
     def end_run(self, worker: Worker, run: Run) -> Stage | None:
-        """Removes a run and releases its resources.
+        """Removes a run from its worker and releases its resources.
+
+        While an order to start it is in doubt, it keeps its task from starting again.
 
         Returns:
             The step of the run, or None if its job is not in the state.
@@ -631,10 +644,56 @@
             worker.remove_run(run)
             self.team_ledger.release(run)
         stage = self._stage_of(run)
+        if stage and run.in_doubt and not stage.spec.speculative:
+            run.phase = RunPhase.UNSETTLED
+            self.unsettled.add(run)
+        else:
+            self._settle(run)
+        return stage
+
+    def _settle(self, run: Run) -> None:
+        """Removes a run that no order can start any more from its task."""
+        self.unsettled.remove(run)
+        stage = self._stage_of(run)
         if stage and run in stage.tasks[run.index].runs:
             stage.tasks[run.index].runs.remove(run)
             self.job_by_id[run.job_id].drop_if_ended(stage.occurrence)
-        return stage
+
+    def restore_run(self, worker: Worker, key: RunKey, now: float) -> Run | None:
+        """Returns an unsettled run that its worker lists, as one in progress.
+
+        Args:
+            worker: The worker.
+            key: Task and number of the run.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The run; None if it is not unsettled, or if its task needs no run.
+        """
+        run = self.unsettled.get(worker.entry.vm, key)
+        if run is None:
+            return None
+        stage = self._stage_of(run)
+        if stage is None or stage.job.phase.is_final or stage.tasks[run.index].done:
+            self._settle(run)
+            return None
+        self.unsettled.remove(run)
+        run.phase, run.changed_at = RunPhase.RUNNING, now
+        run.progressed_at = run.observed_at = now
+        run.stop_sent_at = run.stop_answered_at = None
+        run.stop_wanted = self.has_other_run(stage, run)
+        self.add_run(run)
+        self.record_begin(run)
+        return run
+
+    def has_other_run(self, stage: Stage, run: Run) -> bool:
+        """Returns whether a task has another run although it may have only one."""
+        others = (
+            other
+            for other in stage.tasks[run.index].runs
+            if other is not run and other.phase is not RunPhase.UNSETTLED
+        )
+        return not stage.spec.speculative and any(others)
 
     def _handle_rejected_start(
         self,
--- a/arbutusladder/cell/forecast/cellload.py
+++ b/arbutusladder/cell/forecast/cellload.py
@@ -9,6 +9,7 @@
 from arbutusladder.cell.celljobs import LATE_OBJECTIVE_FACTOR
 from arbutusladder.cell.forecast.drain import HORIZON_S, NOTHING, Amounts, Group
 from arbutusladder.cell.performance.speed import extrapolated_duration_s
+from arbutusladder.cell.states import RunPhase
 from arbutusladder.cell.steppriority import URGENT_PRIORITY, Timeliness, timeliness
 from arbutusladder.ids import TeamName, VmId
 
@@ -224,6 +225,8 @@
     expected_s = stage.spec.estimate_s * ratio
     for task in stage.tasks:
         for run in task.runs:
+            if run.phase is RunPhase.UNSETTLED:
+                continue
             used = load.used_by_team.get(team, NOTHING)
             load.used_by_team[team] = _plus(used, run.need)
             if run.vm in load.vms and not run.lasting:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -83,6 +83,8 @@
 MAX_DECISION_INTERVAL_S = 0.2
 # Seconds that a scheduling round waits to handle concurrent events together.
 EVENT_BATCHING_DELAY_S = 0.005
+# Repeats of a start order that gets no answer, each after the timeout of an order.
+MAX_START_REPEATS = 4
 # Seconds for which a replaced owner may go on extending leases before it detects that
 # it was replaced.
 PREDECESSOR_RENEWAL_WINDOW_S = 3.0
@@ -639,23 +641,28 @@
         await self._decisions_needed.set()
 
     async def _start_with_retry(self, order: StartOrder) -> OrderAnswer:
-        """Sends a start order, and repeats it once if it gets no answer.
+        """Sends a start order, and repeats it a few times if it gets no answer.
 
         Starts are idempotent: a worker accepts an order for a run that it already
-        runs, so the answer to the second order shows whether the first one arrived.
+        runs, so the answer to a repeat shows whether an earlier one arrived. Until the
+        first one can no longer be executed, the task can run only there.
         """
         first = await self._start_once(order)
-        if first.outcome is not OrderOutcome.UNKNOWN:
+        answer = first
+        for _ in range(MAX_START_REPEATS):
+            if answer.outcome is not OrderOutcome.UNKNOWN:
+                break
+            if not self.state.is_start_wanted(order):
+                break
+            answer = await self._start_once(order)
+            if answer.outcome is not OrderOutcome.NOT_SENT:
+                self._dependencies.metrics.count("starts.repeated")
+        if answer is first:
             return first
-        if not self.state.is_start_wanted(order):
-            return first
-        second = await self._start_once(order)
-        if second.outcome is not OrderOutcome.NOT_SENT:
-            self._dependencies.metrics.count("starts.repeated")
-        if second.outcome.is_conclusive:
-            return replace(second, in_doubt=True)
-        # This outcome of the second order does not determine the first order's, which
-        # may still arrive.
+        if answer.outcome.is_conclusive:
+            return replace(answer, in_doubt=True)
+        # Other outcomes of a repeat do not determine that of the first order, which may
+        # still arrive.
         return first
 
     async def _start_once(self, order: StartOrder) -> OrderAnswer:
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -62,6 +62,7 @@
             self._apply_running(worker, row, now)
         report_is_complete = len(report.ended) < MAX_REPORTED_ENDS
         if report_is_complete:
+            worker.listed_all_at = max(worker.listed_all_at, sent_at)
             missing = self._end_missing_runs(worker, report, listed, sent_at)
             if missing:
                 self._cell.record_runs_lost(worker, missing, "missing", now)
@@ -119,6 +120,8 @@
         stage, index = self._cell.find_task(row.task)
         if run is None:
             self._cell.record_listed(worker, row.task, row.run, "running", now)
+            run = self._cell.restore_run(worker, (row.task, row.run), now)
+        if run is None:
             run = self._adopt_run(worker, row, stage, index, now)
         run.listed_born = worker.born
         if stage and stage.job.phase is JobPhase.QUEUED:
@@ -176,14 +179,12 @@
             and not stage.job.phase.is_final
             and not stage.tasks[index].done
         ):
-            others = stage.tasks[index].runs
             run = self._cell.create_run(
                 stage, index, row.run, worker.entry.vm, RunPhase.RUNNING, now
             )
             # A predecessor may have changed it.
             run.pace = None
-            if len(others) > 1 and not stage.spec.speculative:
-                run.stop_wanted = True
+            run.stop_wanted = self._cell.has_other_run(stage, run)
             return run
         need = stage.spec.need if is_known_task else self._cell.task_need(row.task)
         if need is None:
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -8,7 +8,7 @@
 from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.performance.stepruns import StepDurations
 from arbutusladder.cell.runs import Run
-from arbutusladder.cell.states import WaitCause
+from arbutusladder.cell.states import RunPhase, WaitCause
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import (
     AdviceReply,
@@ -37,7 +37,7 @@
         failed_runs: Numbers of the runs that ended as failed.
         last_run: Highest run number in use; 0 before the first run.
         checkpoint: Newest saved checkpoint; empty without one.
-        runs: Runs that have not ended.
+        runs: Runs that have not ended, or that an order may still start.
     """
 
     done: bool = False
@@ -161,7 +161,12 @@
     @property
     def active_runs(self) -> list[Run]:
         """Runs that have not ended."""
-        return [run for task in self.tasks for run in task.runs]
+        return [
+            run
+            for task in self.tasks
+            for run in task.runs
+            if run.phase is not RunPhase.UNSETTLED
+        ]
 
     def waiting_tasks(self) -> list[int]:
         """Returns the indexes of the tasks to start; all or none of a gang."""
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -34,13 +34,15 @@
     """State of one run of a task as known to the owner.
 
     ``DOUBTFUL`` runs may still start or continue, because their start order got no
-    answer.
+    answer. ``UNSETTLED`` ones are not on their worker, but its next incarnation may
+    start them, see `arbutusladder.cell.unsettledruns`.
     """
 
     SENT = "sent"
     RUNNING = "running"
     STOPPING = "stopping"
     DOUBTFUL = "doubtful"
+    UNSETTLED = "unsettled"
 
 
 class EndKind(Enum):
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -77,6 +77,8 @@
         token_number: Number of the fencing token of calls to it.
         token_used: Whether a call under this number may still start a run, extend a
             lease or acknowledge an end.
+        listed_all_at: Monotonic time in seconds at which the newest complete report was
+            requested.
         restart_confirmed: Whether it has restarted and has answered a call that
             excludes all calls to its former incarnations.
     """
@@ -99,6 +101,7 @@
     speed: WorkerSpeed = field(default_factory=WorkerSpeed)
     token_number: int = 0
     token_used: bool = False
+    listed_all_at: float = -math.inf
     restart_confirmed: bool = False
     _restarted: bool = False
     _called_at: float = -math.inf
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -23,6 +23,7 @@
 from arbutusladder.cell.owner import (
     HEARTBEAT_INTERVAL_S,
     MAX_DECISION_INTERVAL_S,
+    MAX_START_REPEATS,
     PREDECESSOR_RENEWAL_WINDOW_S,
     Owner,
 )
@@ -171,13 +172,24 @@
             OrderOutcome.TOO_LATE,
             OrderOutcome.TICKET_INVALID,
             OrderOutcome.UNHEALTHY,
-            OrderOutcome.UNKNOWN,
         ],
     )
     def test_failed_second_order_leaves_the_first_in_doubt(self, second):
         """Guards against placing a task again while its first run may go on."""
         assert answered_start(OrderOutcome.UNKNOWN, second) is OrderOutcome.UNKNOWN
 
+    def test_order_is_given_up_after_some_repeats(self):
+        """Guards against orders that are repeated without end."""
+        outcomes = [OrderOutcome.UNKNOWN] * (1 + MAX_START_REPEATS)
+        assert answered_start(*outcomes) is OrderOutcome.UNKNOWN
+
+    def test_later_repeat_shows_that_an_order_arrived(self):
+        """Guards against giving up a worker that loses some orders."""
+        outcomes = [OrderOutcome.UNKNOWN] * MAX_START_REPEATS
+        assert answered_start(*outcomes, OrderOutcome.ACCEPTED) is (
+            OrderOutcome.ACCEPTED
+        )
+
     def test_accepted_second_order_shows_that_the_first_arrived(self):
         """Guards against stopping a run that the first order started."""
         assert answered_start(OrderOutcome.UNKNOWN, OrderOutcome.ACCEPTED) is (
--- a/tests/cell/test_restartedworker.py
+++ b/tests/cell/test_restartedworker.py
@@ -132,11 +132,12 @@
         assert not cell.task.is_waiting
 
     @pytest.mark.parametrize("is_stopped", [False, True])
-    def test_run_in_doubt_ends_once_its_order_is_excluded(self, way, is_stopped):
+    def test_run_in_doubt_is_kept_until_its_order_is_excluded(self, way, is_stopped):
         """Guards against an unanswered order that is executed after the restart.
 
         Neither a report that was requested under the token of the order nor a stop that
-        the old incarnation accepted excludes it.
+        the old incarnation accepted excludes it. A report under a higher one does for
+        this incarnation, so the room is free, and the task waits for the next ones.
         """
         cell = RestartingWorker()
         cell.answer(dataclasses.replace(ACCEPTED, in_doubt=True), NOW + 0.1)
@@ -146,16 +147,20 @@
         number = cell.worker.token_number
         cell.restart(way, NOW + 0.6)
         cell.report(NEW, NOW + 0.7, number=number)
-        assert not cell.task.is_waiting
+        assert cell.worker.run_by_key
         cell.report(NEW, NOW + 0.9)
+        assert not cell.worker.run_by_key and not cell.task.is_waiting
+        settled_at = NOW + MAX_ORDER_DELAY_S + 0.1
+        cell.report(NEW, settled_at)
+        cell.state.expire_leases(settled_at)
         assert cell.task.is_waiting
 
-    def test_order_without_an_answer_yet_is_excluded_too(self, way):
-        """Guards against a task that waits for an answer which cannot matter."""
+    def test_order_without_an_answer_yet_is_excluded_until_it_is_answered(self, way):
+        """Guards against a task that starts before the order is answered, or never."""
         cell = RestartingWorker()
         cell.restart(way, NOW + 0.1)
         cell.report(NEW, NOW + 0.2)
-        assert cell.task.is_waiting
+        assert not cell.worker.run_by_key and not cell.task.is_waiting
         cell.answer(ACCEPTED, NOW + 0.3)
         assert cell.task.is_waiting
 
