List in the claim how long orders in doubt on a silent worker have to be awaited

What callers saw: two runs of a task at once after the owner was killed. The owner itself waits 12 s and the longest lease for an order without an answer, but its claim listed 8.3 s for every silent worker, and only the jobs with a run there. A successor that finds no entry of the worker in the registry cannot know of a restart, so it started the task while the next incarnation of the worker could still execute the order.

The claim lists the time until the calls to the worker have no effect, if that is longer, and the jobs of its unsettled runs.

Test, seen to fail before: TestOrderInDoubtAtATakeover.

--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -3,6 +3,7 @@
 from dataclasses import replace
 
 from arbutusladder.cell.cellstate import CellState
+from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
 from arbutusladder.messages import SilentWorker, WorkerIncarnation
 
@@ -31,7 +32,11 @@
             as it may for every registered worker.
     """
     unreported = [
-        replace(row, lease_s=lease_s, is_extended=True)
+        replace(
+            row,
+            lease_s=_wait_s(cell, cell.worker_by_vm[row.vm], now, lease_s),
+            is_extended=True,
+        )
         if row.vm in cell.worker_by_vm
         else row
         for row in cell.unreported.describe(now)
@@ -40,9 +45,13 @@
     return unreported + [
         SilentWorker(
             vm,
-            lease_s,
+            _wait_s(cell, worker, now, lease_s),
             True,
-            sorted(worker.job_ids_to_await),
+            sorted(
+                worker.job_ids_to_await.union(
+                    run.job_id for run in cell.unsettled.on_worker(vm)
+                )
+            ),
             False,
         )
         for vm, worker in cell.worker_by_vm.items()
@@ -50,6 +59,20 @@
     ]
 
 
+def _wait_s(cell: CellState, worker: Worker, now: float, lease_s: float) -> float:
+    """Returns the seconds for which a successor has to wait for a silent worker.
+
+    Args:
+        cell: State of the cell.
+        worker: The worker.
+        now: Monotonic time in seconds.
+        lease_s: Seconds after which a lease ends that this owner may still extend.
+    """
+    runs = [*worker.run_by_key.values(), *cell.unsettled.on_worker(worker.entry.vm)]
+    ends_at = (worker.calls_end_at(run, cell.max_lease_s) for run in runs)
+    return max(lease_s, max(ends_at, default=now) - now)
+
+
 def confirmed_restarts(cell: CellState, now: float) -> list[WorkerIncarnation]:
     """Returns the restarted workers on which earlier calls have no effect.
 
--- a/arbutusladder/cell/unsettledruns.py
+++ b/arbutusladder/cell/unsettledruns.py
@@ -10,7 +10,7 @@
 
 from arbutusladder.cell.runs import Run, RunKey
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, latest_order_end_s
-from arbutusladder.ids import JobId, VmId
+from arbutusladder.ids import VmId
 
 
 @dataclass
@@ -35,10 +35,6 @@
         """Returns the runs of a worker."""
         return [run for run in self._run_by_order.values() if run.vm == vm]
 
-    def job_ids(self, vm: VmId) -> set[JobId]:
-        """Returns the jobs of the runs of a worker."""
-        return {run.job_id for run in self.on_worker(vm)}
-
     def settled(
         self, worker_by_vm: dict[VmId, Worker], now: float, max_lease_s: float
     ) -> list[Run]:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -282,26 +282,36 @@
     def is_run_over(self, run: Run, now: float, max_lease_s: float) -> bool:
         """Returns whether a run on the silent worker has ended, or never begins.
 
+        Args:
+            run: The run.
+            now: Monotonic time in seconds.
+            max_lease_s: Longest lease in seconds that a worker accepts.
+        """
+        return self.leases_expired(now) and now > self.calls_end_at(run, max_lease_s)
+
+    def calls_end_at(self, run: Run, max_lease_s: float) -> float:
+        """Returns when calls that a former incarnation was meant to get have no effect.
+
         A run that was reported ends with the leases, or with its incarnation. An order
         without an answer may be executed by an incarnation that has begun since, known
         or not. Such an incarnation may also have accepted an order, and any call that
         was sent for the former clock may give it the longest lease.
 
         Args:
-            run: The run.
-            now: Monotonic time in seconds.
+            run: A run on this worker.
             max_lease_s: Longest lease in seconds that a worker accepts.
+
+        Returns:
+            Monotonic time in seconds; -inf if the leases alone decide.
         """
-        if not self.leases_expired(now):
-            return False
         latest_end_s = latest_order_end_s(max_lease_s)
         if run.in_doubt:
-            return now > run.ordered_at + latest_end_s
+            return run.ordered_at + latest_end_s
         is_of_former_incarnation = 0 < run.listed_born < self.born
         is_confirmed = run.listed and not self._restarted
         if is_of_former_incarnation or is_confirmed:
-            return True
-        return now > self._called_at + latest_end_s
+            return -math.inf
+        return self._called_at + latest_end_s
 
     def assume_lease(self, expires_at: float) -> None:
         """Records that a previous owner may have granted a lease.
