Do not take a call to a former address of a worker for one to the worker

A stop that was under way to the former address was answered 421 by the worker that has the address now, and the owner removed the worker with the runs of its new incarnation.

A 421 now counts only if the call went to the worker's present address. Otherwise the call has done nothing there (outcome misdirected), for starts, stops, paces and renewals alike.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -270,24 +270,31 @@
         delay_s = MAX_ORDER_DELAY_S + MAX_WALL_CLOCK_ERROR_S
         return began_at + delay_s + longest_lease_s(self.max_lease_s)
 
-    def resolve_fencing(
-        self, vm: VmId, answer: OrderAnswer, token_number: int
+    def resolve_refusal(
+        self, entry: WorkerEntry, answer: OrderAnswer, token_number: int
     ) -> OrderAnswer:
-        """Returns an answer that tells an own newer token from that of a successor.
+        """Returns an answer whose outcome tells what a refusal says of the worker.
+
+        A lower token may be that of the owner itself, and the worker may have come back
+        at another address since.
 
         Args:
-            vm: The worker, which may have been forgotten, or have returned, since.
-            answer: Its answer to a call.
+            entry: Entry of the worker to which the call was sent. The worker may have
+                been forgotten, or have returned, since.
+            answer: The answer to the call.
             token_number: Number of the token of the call.
         """
-        if answer.outcome is not OrderOutcome.FENCED:
-            return answer
-        worker = self.worker_by_vm.get(vm)
-        newest = self._token_number_by_vm.get(vm, 0)
-        if worker:
-            newest = worker.token_number
-        if token_number < newest:
-            return replace(answer, outcome=OrderOutcome.SUPERSEDED)
+        worker = self.worker_by_vm.get(entry.vm)
+        match answer.outcome:
+            case OrderOutcome.FENCED:
+                newest = self._token_number_by_vm.get(entry.vm, 0)
+                if worker:
+                    newest = worker.token_number
+                if token_number < newest:
+                    return replace(answer, outcome=OrderOutcome.SUPERSEDED)
+            case OrderOutcome.WORKER_REPLACED:
+                if worker and worker.entry.address != entry.address:
+                    return replace(answer, outcome=OrderOutcome.MISDIRECTED)
         return answer
 
     def apply_start_answer(
@@ -711,7 +718,11 @@
                     stage.advice.forget_worker(run.vm)
             case OrderOutcome.WORKER_REPLACED:
                 self._remove_worker(worker, "replaced", now)
-            case OrderOutcome.NOT_WANTED | OrderOutcome.SUPERSEDED:
+            case (
+                OrderOutcome.NOT_WANTED
+                | OrderOutcome.SUPERSEDED
+                | OrderOutcome.MISDIRECTED
+            ):
                 pass
             case _:
                 worker.paused_until = max(worker.paused_until, now + REJECTION_PAUSE_S)
--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -96,9 +96,9 @@
                 lease_end = worker.grant_lease(sent_at, self._owner.lease_s)
             acknowledged = _confirmed_end_number(worker)
             worker.token_used |= acknowledged > 0
-            token_number = worker.token_number
+            token_number, entry = worker.token_number, worker.entry
             answer = await self._dependencies.orders.renew(
-                worker.entry,
+                entry,
                 fencing_token(self._owner.epoch, token_number),
                 acknowledged,
                 lease_end,
@@ -107,7 +107,7 @@
             if isinstance(answer, WorkerReport):
                 answer = replace(answer, token_number=token_number)
             else:
-                answer = self._state.resolve_fencing(vm, answer, token_number)
+                answer = self._state.resolve_refusal(entry, answer, token_number)
             await self._handle_answer(vm, answer, sent_at)
             if isinstance(answer, OrderAnswer):
                 await curio.sleep(RETRY_DELAY_S)
@@ -136,7 +136,9 @@
                 await self._owner.end_ownership("a worker has seen a higher epoch")
             case OrderAnswer(outcome=OrderOutcome.WORKER_REPLACED):
                 self._state.remove_replaced_worker(vm, now)
-            case OrderAnswer(outcome=OrderOutcome.SUPERSEDED):
+            case OrderAnswer(
+                outcome=OrderOutcome.SUPERSEDED | OrderOutcome.MISDIRECTED
+            ):
                 pass
             case _:
                 worker = self._state.worker_by_vm.get(vm)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -680,12 +680,10 @@
         if lease_end is None:
             return OrderAnswer(OrderOutcome.NOT_SENT)
         worker.record_order(run, now)
-        number = worker.token_number
+        number, entry = worker.token_number, worker.entry
         token = fencing_token(self.epoch, number)
         copies = run.copies
-        answer = await self._dependencies.orders.start(
-            worker.entry, order, token, lease_end
-        )
+        answer = await self._dependencies.orders.start(entry, order, token, lease_end)
         if answer.outcome is OrderOutcome.UNKNOWN:
             self._dependencies.journal.write(
                 events.ORDER_UNANSWERED,
@@ -697,7 +695,7 @@
                 token=number,
                 born=run.ordered_born,
             )
-        return self.state.resolve_fencing(order.vm, answer, number)
+        return self.state.resolve_refusal(entry, answer, number)
 
     async def _send_run_order(self, order: StopOrder | PaceOrder) -> None:
         if not self.ended:
--- a/arbutusladder/cell/runorders.py
+++ b/arbutusladder/cell/runorders.py
@@ -39,14 +39,14 @@
         worker = self._state.worker_by_vm.get(order.vm)
         if worker is None:
             return
-        number = worker.token_number
+        number, entry = worker.token_number, worker.entry
         token = fencing_token(self._epoch, number)
         match order:
             case StopOrder():
-                answer = await self._orders.stop(worker.entry, order, token)
+                answer = await self._orders.stop(entry, order, token)
             case PaceOrder():
-                answer = await self._orders.pace(worker.entry, order, token)
-        answer = self._state.resolve_fencing(order.vm, answer, number)
+                answer = await self._orders.pace(entry, order, token)
+        answer = self._state.resolve_refusal(entry, answer, number)
         match order:
             case StopOrder():
                 self._metrics.count(f"stops.{answer.outcome.value}")
--- a/arbutusladder/cell/states.py
+++ b/arbutusladder/cell/states.py
@@ -62,6 +62,7 @@
     ``UNKNOWN`` means that the order got no answer; the worker may still execute it.
     ``SUPERSEDED`` means that the worker has seen a higher token of the same owner, so
     it has done nothing and never will.
+    ``MISDIRECTED`` means that another worker answered at a former address of this one.
     ``NOT_WANTED`` orders were not sent, since the run is no longer needed.
     """
 
@@ -74,6 +75,7 @@
     TICKET_INVALID = "ticket_invalid"
     UNHEALTHY = "unhealthy"
     WORKER_REPLACED = "worker_replaced"
+    MISDIRECTED = "misdirected"
     MALFORMED = "malformed"
     NOT_SENT = "not_sent"
     NOT_WANTED = "not_wanted"
--- a/tests/cell/test_restartedworker.py
+++ b/tests/cell/test_restartedworker.py
@@ -351,8 +351,8 @@
     def outcome_of_refusal(self, cell):
         """Returns the function that resolves a refusal of a token by its number."""
         refusal = OrderAnswer(OrderOutcome.FENCED)
-        resolve = cell.state.resolve_fencing
-        return lambda vm, number: resolve(vm, refusal, number).outcome
+        resolve = cell.state.resolve_refusal
+        return lambda entry, number: resolve(entry, refusal, number).outcome
 
     def test_each_restart_and_silence_raises_it_once(self):
         """Guards against a call that is sent under the token of earlier ones."""
@@ -389,20 +389,20 @@
         cell.state.update_registry({}, NOW + 60.0)
         assert not cell.state.worker_by_vm
         outcome = self.outcome_of_refusal(cell)
-        assert outcome(ENTRY.vm, used) is OrderOutcome.SUPERSEDED
+        assert outcome(ENTRY, used) is OrderOutcome.SUPERSEDED
         cell.register(OLD, NOW + 61.0)
         assert cell.worker.token_number > used
-        assert outcome(ENTRY.vm, used) is OrderOutcome.SUPERSEDED
+        assert outcome(ENTRY, used) is OrderOutcome.SUPERSEDED
 
     def test_own_earlier_token_is_told_from_a_successors(self):
         """Guards against an owner that ends because of its own newer call."""
         cell = RestartingWorker()
         number = cell.worker.token_number
         outcome = self.outcome_of_refusal(cell)
-        assert outcome(ENTRY.vm, number) is OrderOutcome.FENCED
+        assert outcome(ENTRY, number) is OrderOutcome.FENCED
         cell.worker.record_missed_renewal(NOW + 0.5)
-        assert outcome(ENTRY.vm, number) is OrderOutcome.SUPERSEDED
-        assert outcome(ENTRY.vm, number + 1) is OrderOutcome.FENCED
+        assert outcome(ENTRY, number) is OrderOutcome.SUPERSEDED
+        assert outcome(ENTRY, number + 1) is OrderOutcome.FENCED
         cell.answer(OrderAnswer(OrderOutcome.SUPERSEDED), NOW + 0.6)
         assert cell.task.is_waiting and not cell.state.changes.fenced
 
