Apply the ends of a report in the order of their numbers

An end that a worker listed after one with a higher number was skipped. Its run was then missing from the report and its task started again, while the acknowledgement of the higher number covered the end as well.

Test, seen to fail before: TestOrderOfEnds.

--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -53,7 +53,7 @@
             worker.confirm(report.clock, now, self._cell.max_lease_s)
         else:
             worker.record_answer(None, now)
-        for ended in report.ended:
+        for ended in sorted(report.ended, key=lambda ended: ended.number):
             if ended.number > worker.last_end_number:
                 worker.record_end(ended.number, job_id_of_task(ended.task))
                 self._apply_end(worker, ended, now)
