Ignore the answer of a former incarnation to a stop

A run that the next incarnation of a worker had listed was marked as stopped by an answer to a stop that the former one had accepted, and no stop was sent again. The run went on until it ended by itself, with its room and its task taken.

A restart resets the time of the last stop of a run in doubt; an answer that arrives while none has been sent since is dropped.

Test, seen to fail before: TestStopAnswerOfAFormerIncarnation.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -373,7 +373,9 @@
         if answer.outcome is OrderOutcome.WORKER_REPLACED:
             self._remove_worker(worker, "replaced", now)
             return
-        if run and answer.outcome is OrderOutcome.ACCEPTED:
+        # A restart since the stop resets its time: it says nothing of the new run.
+        is_current = run and run.stop_sent_at is not None
+        if is_current and answer.outcome is OrderOutcome.ACCEPTED:
             run.stop_answered_at = now
             run.phase = RunPhase.STOPPING
 
