Order the incarnations of a worker by requests, not by their wall clock

A worker whose wall clock is set back and that restarts has a lower start time than before. All its reports were dropped as late ones of a former incarnation, for good: its runs never ended, leases went on by the former clock, and the former numbers of ends were acknowledged, so that it forgot ends unread and a successor started their tasks again. Seen in a test only.

A report with another start time is of a later incarnation if it was requested after the present one was known, and of one that is not remembered as a former one; the last eight are. Entries of former incarnations are ignored, and tasks start only under the entry of the present one.

Tests, seen to fail before: TestEarlierStartTime; also TestOrderOfIncarnations.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -183,10 +183,11 @@
             worker = self.worker_by_vm.get(vm)
             if worker is None:
                 worker = self.worker_by_vm[vm] = Worker.create(entry)
+                worker.born_known_at = now
                 worker.token_number = self._token_number_by_vm.pop(vm, 0)
                 # Its entry may have been missing at the takeover.
                 worker.assume_lease(self.unreported.leases_end_at(vm))
-            elif entry.born >= worker.born:
+            elif entry.born >= worker.born and entry.born not in worker.former_borns:
                 if entry.born > worker.born:
                     self.begin_incarnation(worker, entry.born, now, "registry")
                 worker.update_entry(entry)
@@ -207,7 +208,7 @@
             now: Monotonic time in seconds.
             source: What shows the restart, for the event log.
         """
-        worker.begin_incarnation(born)
+        worker.begin_incarnation(born, now)
         self.record_event(
             events.WORKER_INCARNATION_BEGAN,
             worker=worker.entry.vm,
@@ -239,7 +240,9 @@
         worker = self.worker_by_vm.get(vm)
         if worker is None:
             return 0
-        if 0 < report.born < worker.born:
+        if report.born not in (0, worker.born) and not worker.is_next_incarnation(
+            report.born, sent_at
+        ):
             # A late answer of an earlier incarnation, whose runs are gone.
             return worker.last_end_number
         is_complete = self._report_processor.apply(worker, report, sent_at, now)
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -44,8 +44,7 @@
             Whether the report is complete. Otherwise the worker lists further ends
             once these are acknowledged, and tasks that it does not list may be done.
         """
-        restarted = report.born > worker.born
-        if restarted:
+        if worker.is_next_incarnation(report.born, sent_at):
             self._cell.begin_incarnation(worker, report.born, now, "report")
         # A report that was requested under an earlier token shows what the worker runs,
         # but earlier calls may still take effect on it.
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -1,6 +1,7 @@
 """Workers in the owner's state: free resources, runs, leases and health."""
 
 import math
+from collections import deque
 from dataclasses import dataclass, field
 
 from arbutusladder.cell.interfaces import WorkerEntry
@@ -28,6 +29,9 @@
 # run of a task that lasts then also counts as a success, since it never ends as one.
 PROVING_S = 2.0
 
+# Incarnations of a worker that are remembered beside the newest one; reports and
+# entries of earlier ones are too old to arrive.
+FORMER_BORNS = 8
 # Seconds after which no worker executes an order any more that got no answer. The
 # users' workers carry late orders out up to 12 s after they were sent.
 MAX_ORDER_DELAY_S = 12.0
@@ -58,6 +62,10 @@
     Attributes:
         entry: Its entry in the registry, which may be of an earlier incarnation.
         born: Start time of the newest known incarnation.
+        born_known_at: Monotonic time in seconds from which on nobody answers calls for
+            an earlier one.
+        former_borns: Start times of the last incarnations before it. They may be later
+            ones, since the wall clock of the worker may be set back.
         free: Capacity less the resources reserved for runs and planned starts.
         registered: Whether the registry still lists it.
         run_by_key: Runs that have not ended.
@@ -86,6 +94,8 @@
     entry: WorkerEntry
     free: Resources
     born: int
+    born_known_at: float = -math.inf
+    former_borns: deque[int] = field(default_factory=lambda: deque(maxlen=FORMER_BORNS))
     registered: bool = True
     run_by_key: dict[RunKey, Run] = field(default_factory=dict)
     lasting_need: Resources = field(default_factory=Resources)
@@ -121,7 +131,18 @@
         self.entry = entry
         self.registered = True
 
-    def begin_incarnation(self, born: int) -> None:
+    def is_next_incarnation(self, born: int, sent_at: float) -> bool:
+        """Returns whether a report shows an incarnation after the newest known one.
+
+        Args:
+            born: Start time in the report; 0 if it has none.
+            sent_at: Monotonic time in seconds at which the report was requested.
+        """
+        if born in (0, self.born) or born in self.former_borns:
+            return False
+        return born > self.born or sent_at > self.born_known_at
+
+    def begin_incarnation(self, born: int, now: float) -> None:
         """Records a restart, after which the worker knows nothing of before.
 
         The runs are kept. The new incarnation may have accepted an order that was sent
@@ -131,8 +152,10 @@
 
         Args:
             born: Start time of the new incarnation.
+            now: Monotonic time in seconds.
         """
-        self.born = born
+        self.former_borns.append(self.born)
+        self.born, self.born_known_at = born, now
         self.acknowledged = self.last_end_number = 0
         self.job_by_end.clear()
         self.failures = 0
@@ -307,7 +330,7 @@
         latest_end_s = latest_order_end_s(max_lease_s)
         if run.in_doubt:
             return run.ordered_at + latest_end_s
-        is_of_former_incarnation = 0 < run.listed_born < self.born
+        is_of_former_incarnation = run.listed and run.listed_born != self.born
         is_confirmed = run.listed and not self._restarted
         if is_of_former_incarnation or is_confirmed:
             return -math.inf
@@ -344,7 +367,7 @@
         """Returns whether new tasks may start on the worker."""
         return (
             self.registered
-            and self.entry.born >= self.born
+            and self.entry.born == self.born
             and not self.entry.draining
             and self.is_responsive(now)
             and now >= self.paused_until
--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -440,3 +440,24 @@
         cell.report(NEW, NOW + 1.2, running=[1])
         (run,) = cell.task.runs
         assert run.phase is not RunPhase.STOPPING or run.stop_answered_at is None
+
+
+class TestOrderOfIncarnations:
+    """Pattern: an incarnation with a lower start time follows one with a higher."""
+
+    LOWER = NEW - 3
+
+    def test_entry_of_the_former_incarnation_does_not_bring_it_back(self):
+        """Guards against a restart that each read of the registry shows again."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 0.5)
+        cell.report(self.LOWER, NOW + 1.0, sent_at=NOW + 0.9)
+        cell.register(NEW, NOW + 1.1)
+        assert cell.worker.born == self.LOWER
+
+    def test_report_requested_before_the_restart_was_known_is_dropped(self):
+        """Guards against a late report of a former incarnation that counts as new."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 1.0)
+        cell.report(self.LOWER, NOW + 1.2, sent_at=NOW + 0.9)
+        assert cell.worker.born == NEW
