Settle orders in doubt by all that shows what came of them

- two hand-overs shortened a wait that the first owner had listed; a worker whose entry had lapsed was forgotten with its unsettled runs; a call after an order in doubt could extend the lease of the incarnation that executes it; an accepted order settled a run that a report had missed.
In each a task could run twice.
- a run that was accepted and not yet listed waited 18 s after a plain crash, instead of 5 s.
The answer to an order has the clock of the incarnation that executed it, so it now shows whether that is the known one, by whose clock the leases are counted.
- a task that lasts waited 12 s for an order without an answer although its worker answered.
A task now may start again on that worker, which refuses the order or, if it restarts, has lost the newer run.
A gang waits.
- the end of a run shows that its order was executed; a done task, and a step whose orders carry tickets, need no wait; 421 at the present address ends it.
- orders were repeated to a worker that had begun to drain.
A restored member of a gang that was given up is stopped.

Not excluded: the order of the newer run on that worker gets no answer either, the worker restarts, and its next incarnation executes both (docs/proofs.md).

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -34,6 +34,7 @@
 from arbutusladder.cell.unreported import UnreportedWorkers
 from arbutusladder.cell.unsettledruns import UnsettledRuns
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, longest_lease_s
+from arbutusladder.cell.workerselection import needs_advice
 from arbutusladder.errors import JobTooLarge
 from arbutusladder.events import Event
 from arbutusladder.ids import JobId, TeamName, VmId
@@ -194,7 +195,8 @@
         for vm, worker in list(self.worker_by_vm.items()):
             if vm not in entry_by_vm:
                 worker.registered = False
-                if not worker.run_by_key and worker.leases_expired(now):
+                is_used = worker.run_by_key or self.unsettled.on_worker(vm)
+                if not is_used and worker.leases_expired(now):
                     self._forget_worker(worker)
 
     def begin_incarnation(
@@ -315,8 +317,14 @@
         if run is None:
             return
         run.record_start_answer(answer)
-        if run.phase is RunPhase.UNSETTLED and not run.in_doubt:
-            self._settle(run)
+        is_accepted = answer.outcome is OrderOutcome.ACCEPTED
+        if run.phase is RunPhase.UNSETTLED:
+            run.changed_at = now
+            if not (run.in_doubt or is_accepted):
+                self._settle(run)
+            return
+        if is_accepted and worker.is_own_clock(answer.clock, now):
+            run.confirmed_born = worker.born
         if run.phase is not RunPhase.SENT:
             return
         run.changed_at = now
@@ -622,7 +630,11 @@
         self._token_number_by_vm[vm] = worker.token_number + 1
 
     def _remove_worker(self, worker: Worker, cause: str, now: float) -> None:
-        self._end_lost_runs(worker, list(worker.run_by_key.values()), cause, now)
+        # Orders that are under way to its address find another worker there.
+        vm, lost = worker.entry.vm, list(worker.run_by_key.values())
+        self._end_lost_runs(worker, lost, cause, now)
+        for run in [*lost, *self.unsettled.on_worker(vm)]:
+            self._settle(run)
         worker.registered = False
         self._forget_worker(worker)
         if self.unreported.remove(worker.entry.vm):
@@ -656,13 +668,21 @@
             worker.remove_run(run)
             self.team_ledger.release(run)
         stage = self._stage_of(run)
-        if stage and run.in_doubt and not stage.spec.speculative:
+        is_needed = stage and not stage.tasks[run.index].done
+        if is_needed and run.in_doubt and self._binds_task(stage):
             run.phase = RunPhase.UNSETTLED
             self.unsettled.add(run)
         else:
             self._settle(run)
         return stage
 
+    def _binds_task(self, stage: Stage) -> bool:
+        """Returns whether an order in doubt keeps a task of a step from elsewhere.
+
+        Tickets are valid on one incarnation only.
+        """
+        return not (stage.spec.speculative or needs_advice(stage))
+
     def _settle(self, run: Run) -> None:
         """Removes a run that no order can start any more from its task."""
         self.unsettled.remove(run)
@@ -671,6 +691,14 @@
             stage.tasks[run.index].runs.remove(run)
             self.job_by_id[run.job_id].drop_if_ended(stage.occurrence)
 
+    def end_unsettled_run(self, worker: Worker, key: RunKey) -> None:
+        """Applies the end of an unsettled run that its worker lists."""
+        run = self.unsettled.get(worker.entry.vm, key)
+        if run:
+            run.listed = True
+            if not run.in_doubt:
+                self._settle(run)
+
     def restore_run(self, worker: Worker, key: RunKey, now: float) -> Run | None:
         """Returns an unsettled run that its worker lists, as one in progress.
 
@@ -693,7 +721,8 @@
         run.phase, run.changed_at = RunPhase.RUNNING, now
         run.progressed_at = run.observed_at = now
         run.stop_sent_at = run.stop_answered_at = None
-        run.stop_wanted = self.has_other_run(stage, run)
+        # The other members of a gang have been given up.
+        run.stop_wanted = stage.spec.gang or self.has_other_run(stage, run)
         self.add_run(run)
         self.record_begin(run)
         return run
@@ -745,8 +774,10 @@
         for number in finished:
             task = stage.tasks[number]
             task.done = True
-            if not stage.spec.gang:
-                for run in task.runs:
+            for run in list(task.runs):
+                if run.phase is RunPhase.UNSETTLED:
+                    self._settle(run)
+                elif not stage.spec.gang:
                     run.stop_wanted = True
         job.finish_if_done(stage.occurrence)
         if job.is_done:
--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -34,7 +34,9 @@
     unreported = [
         replace(
             row,
-            lease_s=_wait_s(cell, cell.worker_by_vm[row.vm], now, lease_s),
+            lease_s=max(
+                row.lease_s, _wait_s(cell, cell.worker_by_vm[row.vm], now, lease_s)
+            ),
             is_extended=True,
         )
         if row.vm in cell.worker_by_vm
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -670,7 +670,7 @@
         """
         worker = self.state.worker_by_vm.get(order.vm)
         run = worker and worker.run_by_key.get((order.task, order.run))
-        if run is None or not self.may_start_tasks():
+        if run is None or worker.entry.draining or not self.may_start_tasks():
             return OrderAnswer(OrderOutcome.NOT_SENT)
         now = self._clock.now()
         lease_end = worker.grant_lease(now, self.lease_s)
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -254,7 +254,12 @@
                 break
             if orders and self._is_capped(stage, this_round):
                 break
-            worker = select_worker(stage, candidates, now, preference, disturbance)
+            bound_vm, usable = stage.tasks[index].bound_vm, candidates
+            if bound_vm:
+                usable = [w for w in candidates if w.entry.vm == bound_vm]
+            worker = select_worker(stage, usable, now, preference, disturbance)
+            if worker is None and bound_vm:
+                continue
             if worker is None:
                 break
             ticket = stage.advice.valid_ticket(worker.entry.vm, now)
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -71,11 +71,13 @@
         stage, index = self._cell.find_task(ended.task)
         run = worker.run_by_key.get((ended.task, ended.run))
         if run:
+            run.listed = True
             self._cell.end_run(worker, run)
         else:
             self._cell.record_listed(
                 worker, ended.task, ended.run, ended.how.value, now
             )
+            self._cell.end_unsettled_run(worker, (ended.task, ended.run))
         if stage is None or index >= len(stage.tasks):
             return
         task = stage.tasks[index]
@@ -122,7 +124,7 @@
             run = self._cell.restore_run(worker, (row.task, row.run), now)
         if run is None:
             run = self._adopt_run(worker, row, stage, index, now)
-        run.listed_born = worker.born
+        run.listed, run.confirmed_born = True, worker.born
         if stage and stage.job.phase is JobPhase.QUEUED:
             self._cell.record_begin(run)
         if run.phase is RunPhase.SENT:
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -36,8 +36,9 @@
         stop_answered_at: Monotonic time in seconds at which a worker accepted a stop
             order; None before that.
         proven: Whether it has counted as a success although it has not ended.
-        listed_born: Newest incarnation of the worker that has reported it as running;
-            0 if none has.
+        listed: Whether the worker has reported it as running, or its end.
+        confirmed_born: Newest incarnation of the worker that certainly has, or had, it;
+            0 if none is known.
         ordered_at: Monotonic time in seconds of the last order to start it; None if
             this owner sent none.
         ordered_born: Newest incarnation of the worker that was known then, for the
@@ -74,7 +75,8 @@
     stop_sent_at: float | None = None
     stop_answered_at: float | None = None
     proven: bool = False
-    listed_born: int = 0
+    listed: bool = False
+    confirmed_born: int = 0
     ordered_at: float | None = None
     ordered_born: int = 0
     token_number: int = -1
@@ -95,11 +97,6 @@
         """Whether it runs until its job is cancelled."""
         return self.spec is not None and self.spec.lasting
 
-    @property
-    def listed(self) -> bool:
-        """Whether the worker has reported it as running."""
-        return self.listed_born > 0
-
     @property
     def in_doubt(self) -> bool:
         """Whether an order to start it may still be executed, also after a restart.
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -48,9 +48,24 @@
 
     @property
     def is_waiting(self) -> bool:
-        """Whether it is not done and has no run."""
+        """Whether it is not done and has no run, so that it may start anywhere."""
         return not self.done and not self.runs
 
+    @property
+    def bound_vm(self) -> VmId | None:
+        """The only worker on which it may start, since an order there is in doubt.
+
+        That worker refuses the order, or has a newer run only as long as it refuses it.
+        None if it may not start at all, or anywhere.
+        """
+        if self.done or not self.runs:
+            return None
+        vm = self.runs[0].vm
+        for run in self.runs:
+            if run.phase is not RunPhase.UNSETTLED or run.vm != vm:
+                return None
+        return vm
+
 
 @dataclass(slots=True)
 class Ticket:
@@ -169,12 +184,19 @@
         ]
 
     def waiting_tasks(self) -> list[int]:
-        """Returns the indexes of the tasks to start; all or none of a gang."""
+        """Returns the indexes of the tasks to start; all or none of a gang.
+
+        A task whose order is in doubt may start on one worker only; a gang waits.
+        """
         if self.spec.gang:
             if self.done or any(task.runs for task in self.tasks):
                 return []
             return list(range(len(self.tasks)))
-        return [index for index, task in enumerate(self.tasks) if task.is_waiting]
+        return [
+            index
+            for index, task in enumerate(self.tasks)
+            if task.is_waiting or task.bound_vm
+        ]
 
     def next_run_number(self, index: int) -> int:
         """Returns the next run number of a task; members of a gang share it."""
--- a/arbutusladder/cell/unsettledruns.py
+++ b/arbutusladder/cell/unsettledruns.py
@@ -57,13 +57,15 @@
 ) -> bool:
     """Returns whether no incarnation runs, or still starts, a run.
 
-    A complete report that was requested once no order could be executed any more would
-    list the run. Without one, it has ended with its longest lease.
+    A complete report that was requested once no order could be executed any more, or
+    after the last answer, would list the run. Without one, it has ended with its
+    longest lease.
     """
-    executed_by = run.ordered_at + MAX_ORDER_DELAY_S
-    if worker is not None:
-        if worker.listed_all_at > executed_by:
-            return True
-        if worker.silent_since is None or not worker.leases_expired(now):
-            return False
-    return now > run.ordered_at + latest_order_end_s(max_lease_s)
+    if worker is None:
+        return now > run.ordered_at + latest_order_end_s(max_lease_s)
+    executed_by = run.changed_at
+    if run.in_doubt:
+        executed_by = run.ordered_at + MAX_ORDER_DELAY_S
+    if worker.listed_all_at > executed_by:
+        return True
+    return worker.silent_since is not None and worker.is_run_over(run, now, max_lease_s)
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -15,6 +15,8 @@
 
 # Largest share by which a worker's clock may run slower than the owner's.
 CLOCK_RATE_ERROR = 0.02
+# Difference in seconds up to which two answers show one clock: their delays.
+CLOCK_TOLERANCE_S = 0.2
 # Seconds that a worker may take to kill its tasks after a lease has ended.
 LEASE_END_MARGIN_S = 0.2
 # Consecutive failed runs, of more than one job, after which a worker is on trial:
@@ -315,10 +317,11 @@
     def calls_end_at(self, run: Run, max_lease_s: float) -> float:
         """Returns when calls that a former incarnation was meant to get have no effect.
 
-        A run that was reported ends with the leases, or with its incarnation. An order
-        without an answer may be executed by an incarnation that has begun since, known
-        or not. Such an incarnation may also have accepted an order, and any call that
-        was sent for the former clock may give it the longest lease.
+        A run that an incarnation is known to have ends with the leases, or with that
+        incarnation. An order without an answer may be executed by an incarnation that
+        has begun since, known or not. Such an incarnation may also have accepted an
+        order, and any call that was sent for the former clock may give it the longest
+        lease.
 
         Args:
             run: A run on this worker.
@@ -328,12 +331,10 @@
             Monotonic time in seconds; -inf if the leases alone decide.
         """
         latest_end_s = latest_order_end_s(max_lease_s)
-        if run.in_doubt:
-            return run.ordered_at + latest_end_s
-        is_of_former_incarnation = run.listed and run.listed_born != self.born
-        is_confirmed = run.listed and not self._restarted
-        if is_of_former_incarnation or is_confirmed:
-            return -math.inf
+        if not run.in_doubt and run.confirmed_born:
+            is_of_former_incarnation = run.confirmed_born != self.born
+            if is_of_former_incarnation or not self._restarted:
+                return -math.inf
         return self._called_at + latest_end_s
 
     def assume_lease(self, expires_at: float) -> None:
@@ -355,6 +356,22 @@
             self._inherited_leases_expire_at, expires_at
         )
 
+    def is_own_clock(self, clock: float | None, now: float) -> bool:
+        """Returns whether an answer has the clock of the present incarnation.
+
+        The clock starts anew with each incarnation. One by whose clock leases last as
+        long as on the present one counts as this one.
+
+        Args:
+            clock: Clock in the answer in seconds; None without one.
+            now: Monotonic time in seconds.
+        """
+        if clock is None or self._clock is None:
+            return False
+        age_s = now - self._clock_received_at
+        tolerance_s = CLOCK_TOLERANCE_S + age_s * CLOCK_RATE_ERROR
+        return abs(clock - self._clock - age_s) <= tolerance_s
+
     def clock_known(self) -> bool:
         """Returns whether the worker's clock is known, which lease times require."""
         return self._clock is not None
--- a/tests/cell/test_unsettledruns.py
+++ b/tests/cell/test_unsettledruns.py
@@ -1,9 +1,18 @@
 """Tests of tasks whose start order got no answer and may still be executed."""
 
+import dataclasses
+
 import pytest
 
+from arbutusladder.cell.advicecalls import AdviceCapacity
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.interfaces import OrderAnswer, RunningTask, WorkerReport
+from arbutusladder.cell.interfaces import (
+    OrderAnswer,
+    RunningTask,
+    StartOrder,
+    WorkerReport,
+)
+from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, latest_order_end_s
 from arbutusladder.messages import JobProgress
@@ -119,3 +128,54 @@
             state.end_run(worker, run)
         assert stage.waiting_tasks() == []
         assert stage.active_runs == []
+
+
+class TestSameWorker:
+    """Pattern: the worker of an order in doubt answers and has room."""
+
+    def starts(self, cell, now):
+        """Returns the workers on which the task starts, with another one idle."""
+        other = workloads.workers(2)[1]
+        entry_by_vm = {ENTRY.vm: cell.worker.entry, other.vm: other}
+        cell.state.update_registry(entry_by_vm, now)
+        cell.state.apply_report(other.vm, WorkerReport(OLD, 5.0), now, now)
+        orders = Placer(cell.state).decide(now, AdviceCapacity(8, 6))
+        return [order.vm for order in orders if isinstance(order, StartOrder)]
+
+    def test_task_starts_there_and_nowhere_else(self):
+        """Guards against tasks that wait 12 s for an order that got no answer."""
+        assert self.starts(excluded_cell(), NOW + 1.3) == [ENTRY.vm]
+
+    def test_task_waits_while_the_worker_has_no_room(self):
+        """Guards against a start on another worker while the order is in doubt."""
+        cell = excluded_cell()
+        cell.worker.reserve(cell.worker.free)
+        assert self.starts(cell, NOW + 1.3) == []
+
+    def test_task_waits_for_two_workers(self):
+        """Guards against a start while orders on two workers are in doubt."""
+        cell = excluded_cell()
+        (run,) = cell.task.runs
+        cell.task.runs.append(dataclasses.replace(run, vm="w-009"))
+        assert self.starts(cell, NOW + 1.3) == []
+
+
+class TestConfirmedByTheClock:
+    """The clock in the answer to an order shows which incarnation has accepted it."""
+
+    def test_run_of_a_known_incarnation_ends_with_its_leases(self):
+        """Guards against a wait for calls that were made for the same clock."""
+        cell = RestartingWorker()
+        cell.worker.grant_lease(NOW, 5.0)
+        cell.answer(OrderAnswer(OrderOutcome.ACCEPTED, 0.05), NOW + 0.1)
+        cell.worker.record_missed_renewal(NOW + 0.2)
+        assert is_waiting(cell, NOW + 5.4)
+
+    @pytest.mark.parametrize("clock", [None, -1.0, 1.0])
+    def test_run_of_another_incarnation_may_have_the_longest_lease(self, clock):
+        """Guards against leases that count by the clock of a former incarnation."""
+        cell = RestartingWorker()
+        cell.worker.grant_lease(NOW, 5.0)
+        cell.answer(OrderAnswer(OrderOutcome.ACCEPTED, clock), NOW + 0.1)
+        cell.worker.record_missed_renewal(NOW + 0.2)
+        assert not is_waiting(cell, NOW + 5.4)
