Hold the acknowledgement of an end while its task may be started again

What callers saw: a task ran again after its end as done had been acknowledged. The first copy of its order got no answer, the repeat was accepted, and the run ended.

No token and no report binds an incarnation that has not answered yet. But an end that was not acknowledged is lost with its incarnation, and then the start is not a second one. So the end of a run, or of a gang, is acknowledged only once no order of the task that is in doubt can be executed any more: 12 s after it was sent. Ends are numbered, so later ends of the worker wait too; their effects do not, they are stored at once. A worker answers renewals at once while it lists ends, so a pause of 0.2 s follows.

Ways weighed: a shorter deadline of the order bounds the present incarnation only, since the clock of the next one is mostly behind; not repeating an order under its number leaves the first copy as it is. Tasks with tickets need no wait.

Tasks that end no longer start again on the worker of an order in doubt; only those that last do, which may not be without a run for 12 s.

--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -30,6 +30,9 @@
 # Longest time in seconds for which a report waits for the jobs that it names, so that
 # the leases of its worker do not end while the log does not answer.
 MAX_JOBS_READ_S = 0.5
+# Seconds before the next renewal of a worker that answers at once because it lists ends
+# that may not be acknowledged yet.
+HELD_ENDS_DELAY_S = 0.2
 # Seconds before the next renewal after one that failed.
 RETRY_DELAY_S = 0.2
 
@@ -79,6 +82,8 @@
             worker = self._state.worker_by_vm.get(vm)
             if worker is None:
                 return
+            if _are_all_held(worker, self._clock.now()):
+                await curio.sleep(HELD_ENDS_DELAY_S)
             sent_at = self._clock.now()
             unacknowledged_ends = worker.last_end_number > worker.acknowledged
             poll_timeout_s = (
@@ -181,7 +186,14 @@
             await self._owner.writer.wait_until_stored(bool(self._state.changes.dirty))
             worker = self._state.worker_by_vm.get(vm)
             if worker and worker.born == born:
-                worker.acknowledge_ends(highest_end)
+                free_end = worker.newest_free_end(self._clock.now())
+                worker.acknowledge_ends(min(highest_end, free_end))
+
+
+def _are_all_held(worker: Worker, now: float) -> bool:
+    """Returns whether a worker lists ends, none of which may be acknowledged yet."""
+    has_unacknowledged = worker.last_end_number > worker.acknowledged
+    return has_unacknowledged and worker.newest_free_end(now) <= worker.acknowledged
 
 
 def _confirmed_end_number(worker: Worker) -> int:
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -10,7 +10,8 @@
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import EndKind, JobPhase, RunPhase
 from arbutusladder.cell.tasknames import job_id_of_task
-from arbutusladder.cell.workers import Worker
+from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker
+from arbutusladder.cell.workerselection import needs_advice
 
 if TYPE_CHECKING:
     from arbutusladder.cell.cellstate import CellState
@@ -72,6 +73,8 @@
         run = worker.run_by_key.get((ended.task, ended.run))
         if run:
             run.listed = True
+        self._hold_end(worker, ended, stage, index, now)
+        if run:
             self._cell.end_run(worker, run)
         else:
             self._cell.record_listed(
@@ -107,6 +110,33 @@
             how=ended.how.value,
         )
 
+    def _hold_end(
+        self,
+        worker: Worker,
+        ended: EndedTask,
+        stage: Stage | None,
+        index: int,
+        now: float,
+    ) -> None:
+        """Holds the acknowledgement of an end while the task may be started again.
+
+        The next incarnation of the worker executes an order that is in doubt. That is
+        a second run of a task only if an end of it counts, and an end that was not
+        acknowledged is lost with its incarnation.
+        """
+        if stage is None or index >= len(stage.tasks):
+            return
+        counts = ended.how in (EndKind.DONE, EndKind.FAILED)
+        if not counts or stage.spec.lasting or needs_advice(stage):
+            return
+        runs = stage.tasks[index].runs
+        if stage.spec.gang:
+            runs = [run for task in stage.tasks for run in task.runs]
+        ends = (run.ordered_at + MAX_ORDER_DELAY_S for run in runs if run.in_doubt)
+        until = max(ends, default=now)
+        if until > now:
+            worker.hold_end(ended.number, until)
+
     def _record_failure(
         self, worker: Worker, run: Run, stage: Stage, now: float
     ) -> None:
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -53,10 +53,9 @@
 
     @property
     def bound_vm(self) -> VmId | None:
-        """The only worker on which it may start, since an order there is in doubt.
+        """The worker to which all of its orders in doubt were sent; None without any.
 
-        That worker refuses the order, or has a newer run only as long as it refuses it.
-        None if it may not start at all, or anywhere.
+        That worker refuses them, or has a newer run only as long as it refuses them.
         """
         if self.done or not self.runs:
             return None
@@ -186,7 +185,9 @@
     def waiting_tasks(self) -> list[int]:
         """Returns the indexes of the tasks to start; all or none of a gang.
 
-        A task whose order is in doubt may start on one worker only; a gang waits.
+        A task whose order is in doubt waits until that cannot be executed any more. One
+        that lasts may not be without a run for so long, and may start where the order
+        was sent.
         """
         if self.spec.gang:
             if self.done or any(task.runs for task in self.tasks):
@@ -195,7 +196,7 @@
         return [
             index
             for index, task in enumerate(self.tasks)
-            if task.is_waiting or task.bound_vm
+            if task.is_waiting or (self.spec.lasting and task.bound_vm)
         ]
 
     def next_run_number(self, index: int) -> int:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -83,6 +83,8 @@
         trial_task: Task that runs while the worker is on trial.
         last_end_number: Number of the newest end that was reported.
         job_by_end: Job of each reported end that is not acknowledged, by its number.
+        held_until_by_end: Monotonic time in seconds before which an end, by its number,
+            may not be acknowledged.
         speed: Estimate of its speed, in the short and the long term.
         token_number: Number of the fencing token of calls to it.
         token_used: Whether a call under this number may still start a run, extend a
@@ -110,6 +112,7 @@
     trial_task: str | None = None
     last_end_number: int = 0
     job_by_end: dict[int, JobId] = field(default_factory=dict)
+    held_until_by_end: dict[int, float] = field(default_factory=dict)
     speed: WorkerSpeed = field(default_factory=WorkerSpeed)
     token_number: int = 0
     token_used: bool = False
@@ -160,6 +163,7 @@
         self.born, self.born_known_at = born, now
         self.acknowledged = self.last_end_number = 0
         self.job_by_end.clear()
+        self.held_until_by_end.clear()
         self.failures = 0
         self.failed_jobs.clear()
         self.speed = WorkerSpeed()
@@ -232,11 +236,21 @@
         self.last_end_number = number
         self.job_by_end[number] = job_id
 
+    def hold_end(self, number: int, until: float) -> None:
+        """Records that an end may not be acknowledged before a monotonic time."""
+        self.held_until_by_end[number] = until
+
+    def newest_free_end(self, now: float) -> int:
+        """Returns the newest reported end up to which none is held back any more."""
+        held = (end for end, until in self.held_until_by_end.items() if now < until)
+        return min(held, default=self.last_end_number + 1) - 1
+
     def acknowledge_ends(self, number: int) -> None:
         """Records that the ends up to a number are stored and may be forgotten."""
         self.acknowledged = max(self.acknowledged, number)
-        for stored in [end for end in self.job_by_end if end <= number]:
-            del self.job_by_end[stored]
+        for by_end in self.job_by_end, self.held_until_by_end:
+            for stored in [end for end in by_end if end <= number]:
+                del by_end[stored]
 
     @property
     def lasting_free(self) -> Resources:
