--- /dev/null
+++ b/tests/platform/soaktrace.py
@@ -0,0 +1,149 @@
+"""Trace of the fault soak: what workers did with each call, by task."""
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+
+# Events of the owner about its ownership and about a whole worker.
+OWNER_EVENTS = {220, 221, 222, 223, 224, 225}
+WORKER_EVENTS = {411, 452, 464, 474}
+LOAD_EVENT = 469
+# Longest trace in lines, and seconds before the first order with events of workers.
+MAX_LINES, LEAD_S = 160, 8.0
+
+
+def format_time(at: float) -> str:
+    """Returns the time of day of a Unix time, as in the logs."""
+    return datetime.fromtimestamp(at, UTC).strftime("%H:%M:%S.%f")[:-3]
+
+
+@dataclass
+class Call:
+    """A call to a worker as it was executed; times are in seconds since 1970.
+
+    Attributes:
+        kind: Last part of its path.
+        worker: The worker.
+        arrived_at: Time at which it arrived.
+        sent_to: Start time of the life that the worker had then, if it was up.
+        delay: Why it was executed later than it arrived; empty if it was not.
+        body: Its fields.
+        executed_at: Time of its execution.
+        born: Start time of the life that has executed it.
+        lease_ms: Time from its execution to its deadline on the worker's clock.
+        status: Status of the answer, with a reason.
+        answered_at: Time at which the answer was sent; 0 if it was not.
+        runs: Task and number of the runs in the answer.
+        ends: Rows of the ends in the answer.
+    """
+
+    kind: str
+    worker: str
+    arrived_at: float
+    sent_to: int | None
+    delay: str
+    body: dict
+    executed_at: float = 0.0
+    born: int = 0
+    lease_ms: float | None = None
+    status: str = ""
+    answered_at: float = 0.0
+    runs: frozenset = frozenset()
+    ends: tuple = ()
+
+    def describe(self, task: str) -> str:
+        """Returns what it shows of a task."""
+        sent_to = "no life" if self.sent_to is None else f"{self.sent_to}"
+        parts = [f"{self.kind} fence {self.body.get('fence', 0)} by {self.born}"]
+        if self.kind == "hold":
+            runs = [number for name, number in self.runs if name == task]
+            ends = [row[:1] + row[2:4] for row in self.ends if row[1] == task]
+            parts += [f"observed {self.body.get('observed', 0)}"]
+            parts += [f"runs {runs} ends {ends} of {len(self.runs)} runs"]
+        else:
+            parts += [f"run {self.body.get('run')}"]
+        if self.lease_ms is not None:
+            parts += [f"deadline in {self.lease_ms / 1000:.2f} s"]
+        parts += [f"arrived {format_time(self.arrived_at)} for {sent_to}"]
+        parts += [f"{self.delay or 'in time'}: {self.status}"]
+        if self.answered_at:
+            parts += [f"answered {format_time(self.answered_at)}"]
+        else:
+            parts += ["not answered"]
+        return ", ".join(parts)
+
+
+@dataclass
+class SoakTrace:
+    """Calls and lives of all workers.
+
+    Attributes:
+        calls: Calls in the order of their execution.
+        states: Time, worker and what happened to it.
+        ends: Time, worker, task, run number and kind of each end.
+        broken: Task and line of each broken rule.
+    """
+
+    calls: list[Call] = field(default_factory=list)
+    states: list[tuple[float, str, str]] = field(default_factory=list)
+    ends: list[tuple[float, str, str, int, str]] = field(default_factory=list)
+    broken: list[tuple[str, str]] = field(default_factory=list)
+
+    def describe(self, task: str, logs: Iterable[Path] = ()) -> list[str]:
+        """Returns what happened to a task, on all workers and at the owner."""
+        orders = [call for call in self.calls if call.body.get("task") == task]
+        if not orders:
+            return []
+        names = {call.worker for call in orders}
+        first_at = min(call.arrived_at for call in orders) - LEAD_S
+        last_at = max(call.executed_at for call in orders) + LEAD_S
+        rows = [(call.executed_at, call.worker, call.describe(task)) for call in orders]
+        rows += self._reports(task, names)
+        rows += [row for row in self.states if row[1] in names]
+        rows += [
+            (at, name, f"run {number} ends {how}")
+            for at, name, ended, number, how in self.ends
+            if ended == task
+        ]
+        for path in logs:
+            rows += _owner_lines(path, task, names)
+        rows = sorted(row for row in rows if first_at <= row[0] <= last_at)
+        return [f"  {format_time(at)} {name} {text}" for at, name, text in rows][
+            :MAX_LINES
+        ]
+
+    def _reports(self, task, names):
+        """Yields reports that show another life, token or state of a task."""
+        shown = {}
+        for call in self.calls:
+            if call.kind != "hold" or call.worker not in names:
+                continue
+            runs = frozenset(number for name, number in call.runs if name == task)
+            ends = tuple(tuple(row) for row in call.ends if row[1] == task)
+            fence = call.body.get("fence", 0)
+            state = call.born, fence, runs, ends, call.delay, call.answered_at > 0
+            if shown.get(call.worker) != state:
+                shown[call.worker] = state
+                yield (
+                    call.answered_at or call.executed_at,
+                    call.worker,
+                    call.describe(task),
+                )
+
+
+def _owner_lines(path, task, names):
+    """Yields the events of an entry VM about a task and its workers."""
+    job, step = task.partition(".")[0], task.rpartition(".")[0]
+    for line in path.read_text(encoding="utf-8", errors="replace").splitlines():
+        if not line.startswith("{"):
+            continue
+        row = json.loads(line)
+        event, fields = row["event"], row.get("fields", {})
+        is_own = event in OWNER_EVENTS or fields.get("task") == task
+        is_own |= fields.get("step") == step or fields.get("job") == job
+        is_own |= event in WORKER_EVENTS and fields.get("worker") in names
+        if is_own and event != LOAD_EVENT:
+            at = datetime.fromisoformat(row["time"]).replace(tzinfo=UTC).timestamp()
+            yield at, row["source"], f"{event} {row['text']}"
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -39,6 +39,7 @@
         target: Address to which it forwards them.
 
     Attributes:
+        address: Address on which it accepts connections.
         answer_delay_s: Longest delay of the data of the target, drawn for each piece.
         loses_answers: Whether data of the target is dropped. A connection that has
             lost data gets none later.
@@ -50,6 +51,7 @@
         self.answer_delay_s = 0.0
         self.loses_answers = False
         self.lost_request: bytes | None = None
+        self.address = listen
         self._listen = split_address(listen)
         self._target = split_address(target)
         self._generation = 0
