Soak: workers that swap addresses, cuts at the first calls after a restart

A recut cut workers off exactly 2 s after their restart, and each address kept its worker, so neither answers of a call to a former address nor a cut between the first calls to a new life were played. New: two workers start again at the address of each other; a recut without late calls; a recut whose workers are cut off 0 to 0.6 s after their restart.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -104,9 +104,11 @@
 }
 # Weights of the kinds, so that the workers have room for all of them.
 WEIGHTS = {"quote": 12, "audit": 2, "batch": 1, "long": 2}
-# Seconds for which workers are down, seconds from their restart to the cut, and seconds
-# before the crash and after the restart with late calls.
-RECUT_DOWN_S, RECUT_PAUSE_S, RECUT_LATE_S = 0.6, 2.0, 1.0
+# Seconds for which workers are down, shortest and longest time from their restart to
+# the cut, for the quick recut too, and seconds before the crash and after the restart
+# with late calls.
+RECUT_DOWN_S, RECUT_PAUSE_S, QUICK_PAUSE_S = 0.6, (2.0, 2.0), (0.0, 0.6)
+RECUT_LATE_S = 1.0
 # Longest time from an end of an entry VM to the next one of the process under its name.
 SECOND_KILL_S = 3.0
 
@@ -155,11 +157,14 @@
     "kill_all": (0.1, 2.0, 1),
     "half_pause": (0.3, 5.0, 2),
     "recut": (7.0, 9.0, 2),
+    "recut_in_time": (7.0, 9.0, 1),
+    "quick_recut": (3.0, 9.0, 1),
     "recut_with": (7.0, 9.0, 2),
     "cut_crash": (2.0, 9.0, 1),
     "one_way": (0.5, 8.0, 2),
     "lost_orders": (1.0, 4.0, 1),
     "worker_resets": (0.5, 3.0, 1),
+    "address_swap": (0.05, 2.0, 1),
     "owner_kill_twice": (0.1, 1.0, 1),
 }
 # Faults that may begin within a recut, with their durations.
@@ -684,29 +689,38 @@
     async def inject_recut(self, fault):
         """Restarts half of the workers under their ids, and soon after cuts them off.
 
-        Some orders around the crash are executed late, by whichever life is up then.
+        Some calls around the crash are executed late, by whichever life is up then.
         """
-        half = [
-            worker
-            for number, worker in enumerate(self.checker.workers)
-            if (number + fault.target) % 2
-        ]
-        for worker in half:
+        await self._recut(fault, RECUT_PAUSE_S, is_late=True)
+
+    async def inject_recut_in_time(self, fault):
+        """Does the same without late calls."""
+        await self._recut(fault, RECUT_PAUSE_S, is_late=False)
+
+    async def inject_quick_recut(self, fault):
+        """Cuts each of them off at another moment after its first calls."""
+        await self._recut(fault, QUICK_PAUSE_S, is_late=False)
+
+    async def _recut(self, fault, pause_s, is_late):
+        async with curio.TaskGroup() as group:
+            for number, worker in enumerate(self.checker.workers):
+                if (number + fault.target) % 2:
+                    seconds = fault.seconds, random.uniform(*pause_s)
+                    await group.spawn(self._recut_worker, worker, *seconds, is_late)
+
+    async def _recut_worker(self, worker, seconds, pause_s, is_late):
+        if is_late:
             worker.begin_fault("late", 2 * RECUT_LATE_S + RECUT_DOWN_S)
         await curio.sleep(RECUT_LATE_S)
-        crashed = [worker for worker in half if not (worker.down or worker.silent)]
-        for worker in crashed:
+        # Others may have been crashed or cut off by another fault meanwhile.
+        if not (worker.down or worker.silent):
             worker.crash()
-        await curio.sleep(RECUT_DOWN_S)
-        for worker in crashed:
+            await curio.sleep(RECUT_DOWN_S)
             worker.restart()
-        await curio.sleep(RECUT_PAUSE_S)
-        # Others may have been crashed or cut off by another fault meanwhile.
-        half = [worker for worker in half if not (worker.down or worker.silent)]
-        for worker in half:
+        await curio.sleep(pause_s)
+        if not (worker.down or worker.silent):
             worker.set_silent(True)
-        await curio.sleep(fault.seconds)
-        for worker in half:
+            await curio.sleep(seconds)
             worker.set_silent(False)
 
     async def inject_recut_with(self, fault):
@@ -714,7 +728,7 @@
         draw = random.Random(fault.target)
         kind, seconds = draw.choice(list(RECUT_FAULTS.items()))
         recut = await curio.spawn(self.inject_recut, fault)
-        await curio.sleep(draw.uniform(0.0, RECUT_LATE_S + RECUT_PAUSE_S + 2.0))
+        await curio.sleep(draw.uniform(0.0, RECUT_LATE_S + RECUT_PAUSE_S[1] + 2.0))
         inject = getattr(self, f"inject_{kind}")
         await inject(replace(fault, kind=kind, seconds=seconds))
         await recut.join()
@@ -746,16 +760,31 @@
     async def inject_one_way(self, fault):
         """Loses the calls to a third of the workers, their answers or heartbeats."""
         third = [
-            worker
+            (worker, worker.route)
             for number, worker in enumerate(self.checker.workers)
             if number % 3 == fault.target % 3
         ]
         kind = fault.target // 3 % 3
-        for worker in third:
-            worker.lose(WAYS[kind], True)
+        for worker, route in third:
+            worker.lose(WAYS[kind], True, route)
         await curio.sleep(fault.seconds)
-        for worker in third:
-            worker.lose(WAYS[kind], False)
+        for worker, route in third:
+            worker.lose(WAYS[kind], False, route)
+
+    async def inject_address_swap(self, fault):
+        """Crashes two workers, which start again at the address of each other."""
+        first = self._worker(fault)
+        second = self._worker(replace(fault, target=fault.target + 1))
+        pair = [first, second]
+        if first is second or any(worker.down or worker.silent for worker in pair):
+            return
+        for worker in pair:
+            worker.crash()
+        await curio.sleep(fault.seconds)
+        first.route, second.route = second.route, first.route
+        for worker in pair:
+            await worker.route.set_target(worker.server.address)
+            worker.restart()
 
     async def inject_worker_resets(self, fault):
         """Resets the connections to all workers again and again."""
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -312,13 +312,13 @@
         is_faulty = time.monotonic() < self._ends_at_by_fault.get(kind, 0.0)
         return is_faulty and random.random() < SHARES[kind] * factor
 
-    def lose(self, way, lost):
-        """Loses one of `WAYS`, or ends the loss."""
+    def lose(self, way, lost, route):
+        """Loses one of `WAYS`, or ends the loss, at the route that it had then."""
         match way:
             case "calls":
-                self.route.lost_request = b"" if lost else None
+                route.lost_request = b"" if lost else None
             case "answers":
-                self.route.loses_answers = lost
+                route.loses_answers = lost
             case "heartbeats":
                 self.loses_heartbeats = lost
         self._note(f"loses {way}: {lost}")
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -9,6 +9,8 @@
 import pytest
 
 from arbutusladder.cell.claims import OWNER_TOPIC, claim_item
+from arbutusladder.clock import Clock
+from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeRun, FakeStore, FakeTopic
@@ -521,6 +523,33 @@
         assert during == [target == 3 * way for way in range(3)]
         assert losses() == [False] * 3
 
+    def test_workers_swap_their_addresses(self, tmp_path):
+        """Guards against an address at which nobody, or its former worker, answers."""
+        soak = SoakRun([], 0, 2, tmp_path)
+        workers = soak.checker.workers
+        addresses = [worker.route.address for worker in workers]
+        pool = HttpConnectionPool(Clock())
+
+        async def call(address, name):
+            headers = [Header("X-Arbutusladder-Target-Instance", name)]
+            answer = await pool.request(
+                address, "POST", "/v1/hold", headers, b"{}", 1.0
+            )
+            await pool.close_idle(address)
+            return answer.status
+
+        async def play():
+            for worker in workers:
+                for run in worker.server.run, worker.route.run:
+                    await curio.spawn(run, daemon=True)
+            await curio.sleep(0.01)
+            rows = [await call(address, "i-0000") for address in addresses]
+            await soak.inject_address_swap(Fault(0.0, "", 0, 0.01))
+            return rows, [await call(address, "i-0000") for address in addresses]
+
+        assert curio.run(play) == ([200, 421], [421, 200])
+        assert [worker.route.address for worker in workers] == addresses[::-1]
+
     def test_crash_behind_a_cut(self, soak):
         """Guards against a worker that is seen to restart, or does not restart."""
         (worker,) = soak.checker.workers
--- a/tests/relay.py
+++ b/tests/relay.py
@@ -69,6 +69,11 @@
             self._generation += 1
         self._cut = cut
 
+    async def set_target(self, target):
+        """Forwards to another address, and resets the open connections."""
+        self._target = split_address(target)
+        await self.reset()
+
     async def reset(self):
         """Closes all open connections with a reset on both sides."""
         for task, sockets in list(self._sockets_by_task.items()):
