--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -330,6 +330,12 @@
         (call,) = worker._checker.trace.calls
         assert not worker.running and call.status == f"409 {reason}"
 
+    def test_call_to_the_former_address(self, worker):
+        """Guards against calls that follow a worker to another address."""
+        route = worker._checker.workers[1].route
+        self.play(worker, start_fields(worker), lambda: setattr(worker, "route", route))
+        assert not worker.running and not worker._checker.trace.calls
+
     def test_call_into_a_cut_arrives_when_it_ends(self, worker):
         """Guards against cuts that lose each call which was under way."""
         worker.set_silent(True)
