--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -878,9 +878,11 @@
         print(line)
     checker = run.checker
     states = Counter(state for state, _ in checker.shown_by_job.values())
+    rules = Counter(line.partition(":")[0] for line in checker.broken)
     print(
-        f"{checker.starts} starts, {len(checker.broken)} broken rules; jobs shown as "
-        f"{dict(states)}; this process was {checker.longest_delay_s():.3f} s late"
+        f"{checker.starts} starts, {len(checker.broken)} broken rules {dict(rules)}; "
+        f"jobs shown as {dict(states)}; this process was "
+        f"{checker.longest_delay_s():.3f} s late"
     )
     for (team, priority), counts in count_outcomes(run.jobs, checker).items():
         print(f"  {team or 'no team'}, priority {priority}: {dict(counts)}")
