--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -38,6 +38,8 @@
 SHARES = {"late": 0.4, "unanswered": 0.4, "refused": 0.4}
 # What may be lost in one direction only.
 WAYS = ("calls", "answers", "heartbeats")
+# Address of the relays, which no outgoing connection takes a port of.
+ROUTE_IP = "127.0.1.1"
 # Heartbeats without which an entry is removed.
 MISSED_HEARTBEATS = 3
 # Share of restarts after which the clock is behind that of the former incarnation, and
@@ -259,7 +261,7 @@
         self.down = self.silent = False
         self.loses_heartbeats = False
         self.failing_share = 0.0
-        self.route = Route(f"127.0.0.1:{free_port('127.0.0.1')}", self.server.address)
+        self.route = Route(f"{ROUTE_IP}:{free_port(ROUTE_IP)}", self.server.address)
         self._store = store
         self._checker = checker
         self._task_s = task_s
