--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -893,9 +893,9 @@
     """Prints what happened to the first tasks for which each rule was broken."""
     logs = sorted(directory.glob("edge-*.log"))
     printed, count_by_rule = set(), Counter()
-    for task, line in checker.trace.broken:
+    for at, task, line in checker.trace.broken:
         rule = line.partition(":")[0]
-        rows = checker.trace.describe(task, logs)
+        rows = checker.trace.describe(task, at, logs)
         if rows and task not in printed and count_by_rule[rule] < MAX_TRACES:
             printed.add(task)
             count_by_rule[rule] += 1
--- a/tests/platform/soaktrace.py
+++ b/tests/platform/soaktrace.py
@@ -84,19 +84,20 @@
         calls: Calls in the order of their execution.
         states: Time, worker and what happened to it.
         ends: Time, worker, task, run number and kind of each end.
-        broken: Task and line of each broken rule.
+        broken: Time, task and line of each broken rule.
     """
 
     calls: list[Call] = field(default_factory=list)
     states: list[tuple[float, str, str]] = field(default_factory=list)
     ends: list[tuple[float, str, str, int, str]] = field(default_factory=list)
-    broken: list[tuple[str, str]] = field(default_factory=list)
+    broken: list[tuple[float, str, str]] = field(default_factory=list)
 
-    def describe(self, task: str, logs: Iterable[Path] = ()) -> list[str]:
+    def describe(self, task: str, until: float, logs: Iterable[Path] = ()) -> list[str]:
         """Returns what happened to a task, on all workers and at the owner.
 
-        What concerns a worker as a whole is shown from its first order for the task to
-        the time at which none is executed any more.
+        The last lines until shortly after a Unix time are kept. What concerns a worker
+        as a whole is shown from its first order for the task to the time at which none
+        is executed any more.
         """
         span_by_worker = self._spans(task)
         rows = [
@@ -118,10 +119,10 @@
             worker = next((w for w in span_by_worker if w == name or w in text), None)
             if worker and span_by_worker[worker][0] <= at <= span_by_worker[worker][1]:
                 rows.append((at, name, text))
-        lines = [
-            f"  {format_time(at)} {name} {text}" for at, name, text in sorted(rows)
+        rows = sorted(row for row in rows if row[0] <= until + LEAD_S)
+        return [
+            f"  {format_time(at)} {name} {text}" for at, name, text in rows[-MAX_LINES:]
         ]
-        return lines[:MAX_LINES]
 
     def _spans(self, task):
         """Returns first and last time of interest by worker."""
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -228,7 +228,7 @@
         faults = "+".join(self.faults) or calm
         line = f"{rule}: {text} ({at}, {faults}, soak {delay_s:.3f} s late)"
         self.broken.append(line)
-        self.trace.broken.append((text.partition(" ")[0], line))
+        self.trace.broken.append((time.time(), text.partition(" ")[0], line))
 
     def longest_delay_s(self, since: float = 0.0) -> float:
         """Returns the longest delay of this process since a monotonic time."""
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -411,8 +411,9 @@
             await send(worker, "run-start", **start_fields(worker, 2))
 
         curio.run(play)
-        ((task, line),) = worker._checker.trace.broken
-        rows = worker._checker.trace.describe(task)
+        ((at, task, line),) = worker._checker.trace.broken
+        rows = worker._checker.trace.describe(task, at)
+        assert worker._checker.trace.describe(task, at - 60.0) == []
         kinds = [row.split()[1:3] for row in rows]
         assert line.startswith(f"TWICE: {FIRST}")
         assert kinds == [["i-1", "run-start"], ["i-1", "hold"], ["i-0", "run-start"]]
