Search: workers that do all that the users' pages allow

The plans of the search made only start orders late, by 5 s at most, cut workers off in both directions at once and lost what was sent meanwhile, and showed each restart to the registry at once.

Events show why the owner took a run for ended.

A worker that does not guard its capacity starts a second run of a task, which the check counts, so the worker of all plans does so too.

--- a/tests/cell/explore.py
+++ b/tests/cell/explore.py
@@ -14,31 +14,43 @@
   --mutant=NAME   Fault to plant in the cell, see `tests.cell.exploremutants`.
   --until-broken  End at the first seed that breaks a rule.
   --recut         Only workers that restart and are cut off soon after.
+  --hostile       Workers that restart, are cut off and carry calls out late in all ways
+                  that the users' pages allow, beside faults of the owner.
+  --widened       The workers of `--hostile` in the plans of the other options.
 """
 
 import contextlib
 import hashlib
 import sys
+from dataclasses import replace
 
 from docopt import docopt
 
+from tests.cell.explorehostileplan import make_hostile_plan
 from tests.cell.exploremutants import MUTANTS
 from tests.cell.exploreplan import make_plan, make_recut_plan
 from tests.cell.explorerun import play_plan
+from tests.cell.exploretrace import trace_ends_of_runs
 from tests.cell.repeatable import restart_with_fixed_hashes
 
 
 def play(seed, options):
     """Returns the result of a seed."""
     make = make_recut_plan if options["--recut"] else make_plan
+    if options["--hostile"]:
+        make = make_hostile_plan
     plan = make(
         seed,
         float(options["--seconds"]),
         int(options["--vms"]),
         int(options["--workers"]),
     )
+    if options["--widened"]:
+        plan = replace(plan, widened=True)
     mutant = options["--mutant"]
     patches = MUTANTS[mutant]() if mutant else ()
+    if plan.widened:
+        patches = (*patches, trace_ends_of_runs())
     with contextlib.ExitStack() as stack:
         for patch in patches:
             stack.enter_context(patch)
--- a/tests/cell/explorecell.py
+++ b/tests/cell/explorecell.py
@@ -35,18 +35,19 @@
     Args:
         process: The process.
         checker: Notes the events.
+        noted: Events to note.
     """
 
-    def __init__(self, process, checker):
+    def __init__(self, process, checker, noted=NOTED_EVENTS):
         super().__init__(process.name)
-        self._process, self._checker = process, checker
+        self._process, self._checker, self._noted = process, checker, noted
 
     def write(self, event, **fields):
         """Writes one event."""
         if self._process.killed or self._process.closing:
             return
         text = f"{self._process.name}: {event.number} {event.text.format(**fields)}"
-        if event in NOTED_EVENTS:
+        if event in self._noted:
             self._checker.note(text)
         if event is events.BACKGROUND_TASK_FAILED:
             self._checker.breaks("FAILURE", text)
@@ -65,7 +66,8 @@
     """
 
     def __init__(self, plan, checker):
-        super().__init__(vms=plan.vms, worker_count=len(plan.workers))
+        super().__init__(plan.vms, len(plan.workers), max_lease_s=plan.max_lease_s)
+        self._plan = plan
         self.checker = checker
         self.faults = FaultsInForce()
         self.network = Network()
@@ -75,16 +77,16 @@
             for vm in plan.vms
         }
         entries = workloads.workers(len(plan.workers), cores=WORKER_CORES)
-        self.worker_by_vm = {
-            entry.vm: ExploreWorker(entry, plan.seed, checker, self.faults)
-            for entry in entries
-        }
+        self.worker_by_vm = {entry.vm: self._make_worker(entry) for entry in entries}
         checker.workers = list(self.worker_by_vm.values())
         # Read by the base class when it decodes the registry.
         self.workers.entry_by_vm = {entry.vm: entry for entry in entries}
         self.process_by_vm = {}
         self._processes = []
 
+    def _make_worker(self, entry):
+        return ExploreWorker(entry, self._plan, self.checker, self.faults)
+
     async def start(self):
         """Starts network, workers and entry VMs."""
         await curio.spawn(self.network.run, daemon=True)
--- a/tests/cell/explorefaults.py
+++ b/tests/cell/explorefaults.py
@@ -102,6 +102,13 @@
     worker: str
 
 
+@dataclass(frozen=True)
+class WorkerMoved(Fault):
+    """A worker crashes and starts again under its id at another address."""
+
+    worker: str
+
+
 @dataclass(frozen=True)
 class WorkerSilent(Fault):
     """Nothing that one entry VM, or any, sends to a worker arrives."""
@@ -126,6 +133,55 @@
     share: float
 
 
+@dataclass(frozen=True)
+class VmKilledTwice(Fault):
+    """An entry VM is killed, starts again, and is killed again after `up_s` seconds."""
+
+    vm: str
+    up_s: float
+
+
+@dataclass(frozen=True)
+class CallsLate(Fault):
+    """A worker carries a share of the calls out late, without an answer."""
+
+    worker: str
+    share: float
+    kinds: tuple
+
+
+@dataclass(frozen=True)
+class CallsUnanswered(Fault):
+    """A worker carries a share of the calls out in time, without an answer."""
+
+    worker: str
+    share: float
+
+
+@dataclass(frozen=True)
+class CallsRefused(Fault):
+    """A worker refuses a share of the calls and does nothing for them."""
+
+    worker: str
+    share: float
+
+
+@dataclass(frozen=True)
+class WorkerCut(Fault):
+    """Requests to a worker, or its answers, do not arrive.
+
+    A share of the requests arrives when the cut ends. With `registry` the worker does
+    not reach the registry either, so that its entry lapses.
+    """
+
+    worker: str
+    vm: str = ANY
+    requests: bool = True
+    answers: bool = True
+    registry: bool = False
+    held_share: float = 0.0
+
+
 @dataclass
 class LogFaults:
     """Faults between one entry VM and the log."""
@@ -193,6 +249,36 @@
         ]
         return max(shares, default=0.0)
 
+    def call_share(self, kind, worker, method=ANY):
+        """Returns the share of calls to a worker that a kind of fault applies to."""
+        shares = [
+            fault.share
+            for fault in self.faults
+            if isinstance(fault, kind) and fault.worker == worker
+            if method in (ANY, *getattr(fault, "kinds", (method,)))
+        ]
+        return max(shares, default=0.0)
+
+    def cuts(self, worker, vm):
+        """Returns the cuts between a worker and an entry VM."""
+        cuts = [
+            fault
+            for fault in self.faults
+            if isinstance(fault, WorkerCut)
+            and fault.worker == worker
+            and fault.vm in (vm, ANY)
+        ]
+        if self.is_silent(worker, vm):
+            cuts.append(WorkerCut(0.0, 0.0, worker))
+        return cuts
+
+    def reaches_registry(self, worker):
+        """Returns whether a worker reaches the registry."""
+        return not any(
+            isinstance(fault, WorkerCut) and fault.worker == worker and fault.registry
+            for fault in self.faults
+        )
+
     def is_silent(self, worker, vm):
         """Returns whether nothing that an entry VM sends to a worker arrives."""
         for fault in self.faults:
--- a/tests/cell/exploreplan.py
+++ b/tests/cell/exploreplan.py
@@ -8,7 +8,7 @@
 from arbutusladder.messages import Resources, StepSpec
 from tests.cell import explorefaults as faults
 from tests.cell import workloads
-from tests.cell.inprocess import REGISTRY_TOPIC
+from tests.cell.inprocess import MAX_LEASE_S, REGISTRY_TOPIC
 
 QUEUE = workloads.queue("explore", 0, 2.0, 1.0, max_attempts=3)
 TOPICS = (JOBS_TOPIC, PROGRESS_TOPIC, OWNER_TOPIC, REGISTRY_TOPIC)
@@ -70,6 +70,9 @@
         jobs: Submissions by number.
         requests: Requests of clients in order of time.
         faults: Faults in order of time.
+        widened: Whether the workers do all that the users' pages allow, see
+            `explorehostile`.
+        max_lease_s: Longest lease in seconds that a worker accepts.
     """
 
     seed: int
@@ -79,6 +82,8 @@
     jobs: dict
     requests: list
     faults: list
+    widened: bool = False
+    max_lease_s: float = MAX_LEASE_S
 
     @property
     def faults_end_at(self):
--- a/tests/cell/explorerules.py
+++ b/tests/cell/explorerules.py
@@ -88,8 +88,8 @@
         holder = self._holder_by_epoch.setdefault(epoch, sender)
         if holder != sender:
             self.breaks("ONE", f"epoch {epoch} is used by {holder} and {sender}")
-        highest = self._highest_epoch_by_worker[worker.name]
-        self._highest_epoch_by_worker[worker.name] = max(highest, epoch)
+        highest = self._highest_epoch_by_worker[worker.fence_scope]
+        self._highest_epoch_by_worker[worker.fence_scope] = max(highest, epoch)
 
     def check_start(self, worker, task, number, epoch, late):
         """Checks a run that begins."""
@@ -98,16 +98,16 @@
         self._started_at_by_task[task].append(now)
         place = f"{task} run {number} on {worker.name} under epoch {epoch}"
         self.note(f"{place} starts{' late' if late else ''}")
-        highest = self._highest_epoch_by_worker[worker.name]
+        highest = self._highest_epoch_by_worker[worker.fence_scope]
         if epoch < highest:
             self.breaks("ONE", f"{place} after epoch {highest}")
         for other in self.workers:
             other.advance()
-            if task in other.running and not other.down:
+            if task in other.running_tasks() and not other.down:
                 self.breaks("TWICE", f"{place} while it runs on {other.name}")
         if any(done.acknowledged for done in self._done_by_task[task]):
             self.breaks("TWICE", f"{place} after an acknowledged end as done")
-        used = sum(map(self.need, worker.running), self.need(task))
+        used = sum(map(self.need, worker.running_tasks()), self.need(task))
         if used > worker.cores:
             self.breaks("LIMIT", f"{place}: {used} cores of {worker.cores}")
         self._check_job(place, parse_task_name(task), now, late)
--- a/tests/cell/explorerun.py
+++ b/tests/cell/explorerun.py
@@ -9,6 +9,7 @@
 from arbutusladder.errors import LogUnavailable
 from tests.cell import explorefaults as faults
 from tests.cell.explorecell import ExploreCell
+from tests.cell.explorehostile import HostileCell
 from tests.cell.exploreplan import Cancel, Read, Submit
 from tests.cell.explorerules import RuleChecker
 from tests.cell.repeatable import run_repeatably
@@ -60,7 +61,7 @@
     async def play(self):
         """Returns the result of the plan."""
         plan, checker = self._plan, self._checker
-        self._cell = ExploreCell(plan, checker)
+        self._cell = (HostileCell if plan.widened else ExploreCell)(plan, checker)
         async with curio.timeout_after(START_S):
             await self._cell.start()
         began_at = time.monotonic()
@@ -160,10 +161,15 @@
                 cell.log.available = False
             case faults.VmKilled(vm=vm) if cell.is_up(vm):
                 cell.kill(vm)
+            case faults.VmKilledTwice(vm=vm) if cell.is_up(vm):
+                await self._kill_twice(fault)
+                return
             case faults.VmPaused(vm=vm) if cell.is_up(vm):
                 cell.process_by_vm[vm].pause(fault.seconds)
             case faults.WorkerRestarted(worker=vm) if not cell.worker_by_vm[vm].down:
                 cell.worker_by_vm[vm].crash()
+            case faults.WorkerMoved(worker=vm) if not cell.worker_by_vm[vm].down:
+                cell.worker_by_vm[vm].move()
         await curio.sleep(fault.seconds)
         self._checker.note(f"ends: {fault}")
         cell.faults.faults.remove(fault)
@@ -173,9 +179,24 @@
                 cell.log.available = not any(downs)
             case faults.VmKilled(vm=vm) if not cell.is_up(vm):
                 await cell.restart(vm)
-            case faults.WorkerRestarted(worker=vm) if cell.worker_by_vm[vm].down:
+            case faults.WorkerRestarted(worker=vm) | faults.WorkerMoved(worker=vm) if (
+                cell.worker_by_vm[vm].down
+            ):
                 await cell.restart_worker(vm)
 
+    async def _kill_twice(self, fault):
+        cell, vm = self._cell, fault.vm
+        down_s = (fault.seconds - fault.up_s) / 2
+        for up_s in (fault.up_s, 0.0):
+            if cell.is_up(vm):
+                cell.kill(vm)
+            await curio.sleep(down_s)
+            if not cell.is_up(vm):
+                await cell.restart(vm)
+            await curio.sleep(up_s)
+        self._checker.note(f"ends: {fault}")
+        cell.faults.faults.remove(fault)
+
     async def _wait_for_ends(self):
         open_jobs = sorted(self._checker.accepted)
         due_at = time.monotonic() + END_BOUND_S
--- a/tests/cell/exploreworkers.py
+++ b/tests/cell/exploreworkers.py
@@ -34,12 +34,10 @@
 # the shortest and longest difference in seconds.
 CLOCK_BEHIND_SHARE = 0.75
 CLOCK_STEP_S = (5.0, 100.0)
-MAX_LEASE_S = 6.0
 
 
 @dataclass
 class _Run:
-    number: int
     began_at: float
     ends_at: float
     how: EndKind
@@ -50,24 +48,33 @@
 
     Args:
         entry: Its entry in the registry.
-        seed: Seed of the durations and outcomes of its runs.
+        plan: The plan; its seed is also that of the durations and outcomes of the runs.
         checker: Checks its starts.
         faults: Faults in force.
 
     Attributes:
-        running: Runs in progress by task.
+        running: Runs in progress by task and number.
         down: Whether it has crashed and not started again.
+        long_share: Share of the long runs.
     """
 
-    def __init__(self, entry, seed, checker, faults):
+    long_share = LONG_SHARE
+
+    def __init__(self, entry, plan, checker, faults):
         self.entry = entry
         self.name, self.cores = entry.vm, entry.capacity.cpu
         self.running = {}
         self.down = False
-        self._seed, self._checker, self._faults = seed, checker, faults
+        self._seed, self._max_lease_s = plan.seed, plan.max_lease_s
+        self._checker, self._faults = checker, faults
         self._clock_offset_s = random.uniform(-100.0, 100.0)
         self._begin_incarnation()
 
+    @property
+    def fence_scope(self):
+        """What epochs of orders must not fall on: the worker, through all restarts."""
+        return self.name
+
     @property
     def born(self):
         """Start time of its incarnation."""
@@ -90,6 +97,14 @@
         """Returns its own clock, which starts anew at each restart."""
         return time.monotonic() + self._clock_offset_s
 
+    def _monotonic_at(self, clock):
+        """Returns the monotonic time at which its own clock shows a time."""
+        return clock - self._clock_offset_s
+
+    def running_tasks(self):
+        """Returns the task of each run in progress."""
+        return [task for task, _ in self.running]
+
     def crash(self):
         """Ends its incarnation; nothing is left of it."""
         self.advance()
@@ -151,18 +166,17 @@
         task, number = order.task, order.run
         if number <= self._ended_runs.get(task, 0):
             return self._answer(OrderOutcome.OLD_RUN)
-        run = self.running.get(task)
-        if run and run.number == number:
+        if (task, number) in self.running:
             return self._answer(OrderOutcome.ACCEPTED)
+        # It does not guard its capacity, so it also starts a second run of a task.
         self._checker.check_start(self, task, number, token_epoch(token), late)
-        if run:
-            return self._answer(OrderOutcome.NO_ROOM)
         draw = random.Random(f"{self._seed}/{task}/{number}")
         now = time.monotonic()
         failed = draw.random() < FAILED_SHARE
         how = EndKind.FAILED if failed else EndKind.DONE
-        length = draw.uniform(*LONG_RUN_S if draw.random() < LONG_SHARE else RUN_S)
-        self.running[task] = _Run(number, now, now + length, how)
+        is_long = draw.random() < self.long_share
+        length = draw.uniform(*LONG_RUN_S if is_long else RUN_S)
+        self.running[task, number] = _Run(now, now + length, how)
         return self._answer(OrderOutcome.ACCEPTED)
 
     async def stop(self, order, token, sender):
@@ -170,9 +184,8 @@
         if self._is_fenced(token, sender):
             return self._answer(OrderOutcome.FENCED)
         task, number = order.task, order.run
-        run = self.running.get(task)
-        if run and run.number <= number:
-            self._end(task, EndKind.STOPPED)
+        if (task, number) in self.running:
+            self._end((task, number), EndKind.STOPPED)
         self._ended_runs[task] = max(number, self._ended_runs.get(task, 0))
         return self._answer(OrderOutcome.ACCEPTED)
 
@@ -199,16 +212,16 @@
         rows = [
             RunningTask(
                 task,
-                run.number,
+                number,
                 "",
                 100.0 * (now - run.began_at) / (run.ends_at - run.began_at),
             )
-            for task, run in self.running.items()
+            for (task, number), run in self.running.items()
         ]
         return WorkerReport(self.born, self.clock(), rows, list(self._ended))
 
     def _extend_lease(self, until):
-        until = min(until, self.clock() + MAX_LEASE_S)
+        until = min(until, self.clock() + self._max_lease_s)
         self._lease_end = max(self._lease_end or until, until)
 
     def advance(self):
@@ -217,22 +230,23 @@
             return
         now = time.monotonic()
         lapsed = self._lease_end is not None and self.clock() > self._lease_end
-        lapsed_at = self._lease_end - self._clock_offset_s if lapsed else now
-        for task, run in list(self.running.items()):
+        lapsed_at = self._monotonic_at(self._lease_end) if lapsed else now
+        for key, run in list(self.running.items()):
             if run.ends_at <= lapsed_at:
-                self._end(task, run.how)
+                self._end(key, run.how)
             elif lapsed:
-                self._end(task, EndKind.LAPSED)
+                self._end(key, EndKind.LAPSED)
         if lapsed:
             self._lease_end = None
             self._checker.record_lapse(self)
 
-    def _end(self, task, how):
-        run = self.running.pop(task)
-        self._ended_runs[task] = max(run.number, self._ended_runs.get(task, 0))
+    def _end(self, key, how):
+        run = self.running.pop(key)
+        task, run_number = key
+        self._ended_runs[task] = max(run_number, self._ended_runs.get(task, 0))
         number = next(self._end_numbers)
-        self._ended.append(EndedTask(number, task, run.number, how, ""))
-        self._checker.note(f"{task} run {run.number} on {self.name} ends {how.value}")
+        self._ended.append(EndedTask(number, task, run_number, how, ""))
+        self._checker.note(f"{task} run {run_number} on {self.name} ends {how.value}")
         if how is EndKind.DONE:
             done = Done(self.name, self.born, number, run.ends_at)
             self._checker.record_done(task, done)
@@ -253,27 +267,31 @@
 
     async def start(self, worker, order, token, until):
         """See `OrderSender.start`."""
-        target = self._worker_by_vm[worker.vm]
+        target = self._target(worker)
         args = (target.start, order, token, until)
         return await self._send(target, ORDER_TIMEOUT_S, args)
 
     async def stop(self, worker, order, token):
         """See `OrderSender.stop`."""
-        target = self._worker_by_vm[worker.vm]
+        target = self._target(worker)
         args = (target.stop, order, token)
         return await self._send(target, ORDER_TIMEOUT_S, args)
 
     async def pace(self, worker, order, token):
         """See `OrderSender.pace`."""
-        target = self._worker_by_vm[worker.vm]
+        target = self._target(worker)
         return await self._send(target, ORDER_TIMEOUT_S, (target.pace, order, token))
 
     async def renew(self, worker, token, acknowledged, until, wait):
         """See `OrderSender.renew`."""
-        target = self._worker_by_vm[worker.vm]
+        target = self._target(worker)
         args = (target.renew, token, acknowledged, until, wait)
         return await self._send(target, wait + RENEW_TIMEOUT_S, args)
 
+    def _target(self, worker):
+        """Returns what answers at the address of a registry entry."""
+        return self._worker_by_vm[worker.vm]
+
     async def _send(self, target, timeout_s, args):
         try:
             return await self._network.call(
--- a/tests/cell/inprocess.py
+++ b/tests/cell/inprocess.py
@@ -28,6 +28,8 @@
 REGISTRY_TOPIC = "workers"
 # Seconds after which a read without an answer is given up.
 READ_TIMEOUT_S = 1.5
+# Longest lease in seconds that a worker accepts.
+MAX_LEASE_S = 6.0
 # Seconds that a message takes.
 LATENCY_S = 0.003
 
@@ -220,6 +222,7 @@
         vms: Names of the entry VMs.
         worker_count: Number of workers.
         task_s: Seconds that a task takes.
+        max_lease_s: Longest lease in seconds that a worker accepts.
 
     Attributes:
         log: The log.
@@ -229,7 +232,8 @@
         member_by_vm: The entry VMs.
     """
 
-    def __init__(self, vms="abc", worker_count=2, task_s=0.5):
+    def __init__(self, vms="abc", worker_count=2, task_s=0.5, max_lease_s=MAX_LEASE_S):
+        self._settings = CellSettings(REGISTRY_TOPIC, max_lease_s, 120.0)
         self.log = MemoryLog()
         self.bus = Bus()
         self.workers = Workers(workloads.workers(worker_count), task_s)
@@ -239,14 +243,21 @@
 
     async def start(self):
         """Starts the entry VMs; returns once one of them owns the cell."""
-        entries = [(vm, b"1") for vm in self.workers.entry_by_vm]
-        await self.log.append(REGISTRY_TOPIC, entries)
+        await self.log.append(REGISTRY_TOPIC, self._registry_items())
         for vm in self.access_by_vm:
             await self._start_vm(vm)
         while not any(member.claims.owner for member in self.member_by_vm.values()):
             await curio.sleep(0.05)
         await curio.sleep(2.0)
 
+    def _registry_items(self):
+        """Returns the first records of the registry."""
+        return [(vm, b"1") for vm in self.workers.entry_by_vm]
+
+    def _decode_worker(self, record):
+        """Returns the registry entry of a record."""
+        return self.workers.entry_by_vm.get(record.key)
+
     async def _start_vm(self, vm):
         member = self._make_member(vm, self.access_by_vm[vm])
         self.member_by_vm[vm] = member
@@ -281,16 +292,20 @@
         """Returns the event log of an entry VM."""
         return Journal(vm)
 
+    def _clock(self, vm):
+        """Returns the clock of an entry VM."""
+        return Clock()
+
     def _make_member(self, vm, access):
         dependencies = CellDependencies(
             access,
             self._order_sender(vm),
             NoAdvisor(),
-            lambda record: self.workers.entry_by_vm.get(record.key),
-            Clock(),
+            self._decode_worker,
+            self._clock(vm),
             self._journal(vm),
             Metrics(),
-            CellSettings(REGISTRY_TOPIC, 6.0, 120.0),
+            self._settings,
         )
         member = Member(VmId(vm), "127.0.0.1:0", dependencies)
         member.peers._close()
