--- a/tests/cell/explorehostile.py
+++ b/tests/cell/explorehostile.py
@@ -42,7 +42,6 @@
 # Share of the requests to a worker that is down which wait for its restart.
 WAITING_SHARE = 0.5
 STOP_S = 0.4
-LONG_SHARE = 0.35
 # Lowest rate of the clock of a worker.
 CLOCK_RATE = (0.98, 1.0)
 # Largest difference of a wall clock from the time.
@@ -117,8 +116,6 @@
             former address.
     """
 
-    long_share = LONG_SHARE
-
     def __init__(self, entry, plan, checker, faults_in_force):
         self._wall_clock = WallClock(_draw_error_s())
         self._rate = random.uniform(*CLOCK_RATE)
@@ -172,11 +169,17 @@
         if method == "start":
             late_share = max(late_share, self._faults.late_share(name))
         late = random.random() < late_share
-        await curio.sleep(random.uniform(*LATE_CALL_S) if late else _latency_s())
+        await curio.sleep(_latency_s())
         if not await self._arrives(call):
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        if refused and not late:
+        if refused:
             return OrderAnswer(OrderOutcome.UNHEALTHY)
+        if late:
+            # Once it has arrived, a cut does not keep the worker from executing it.
+            await curio.sleep(random.uniform(*LATE_CALL_S))
+            await self._wait_until_up()
+        if call.age_s > MAX_DELAY_S or call.address != self.entry.address:
+            await curio.sleep(FOREVER_S)
         born = self.born
         answer = await function(*args, call)
         if late or unanswered or self.down or self.born != born:
@@ -201,8 +204,6 @@
                 await self._wait_until_up()
             else:
                 break
-        if call.age_s > MAX_DELAY_S or call.address != self.entry.address:
-            await curio.sleep(FOREVER_S)
         return True
 
     async def _wait_for_end_of(self, cuts):
--- a/tests/cell/explorehostileplan.py
+++ b/tests/cell/explorehostileplan.py
@@ -19,6 +19,7 @@
 CALL_FAULT_SHARE = 0.3
 OWNER_FAULT_SHARE = 0.4
 CANCELLED_SHARE = 0.15
+LONG_SHARE = 0.35
 READS_PER_JOB = 2
 JOBS_PER_S = (0.8, 2.0)
 CUT_S = (3.0, 12.0)
@@ -61,6 +62,7 @@
         drawn,
         widened=True,
         max_lease_s=draw.choice(MAX_LEASES_S),
+        long_share=LONG_SHARE,
     )
 
 
--- a/tests/cell/exploreplan.py
+++ b/tests/cell/exploreplan.py
@@ -15,6 +15,8 @@
 # Messages of which single types are lost.
 KINDS = ("JobsRelay", "LogCall", "MemberHello", "OwnerBeat", "ProgressRelay")
 WORKER_CORES = 8.0
+# Share of the tasks that outlast the leases of a replaced owner.
+LONG_SHARE = 0.15
 # Share of the faults at an entry VM that hit the owner.
 OWNER_SHARE = 0.7
 # Shortest and longest time in seconds that a fault is in force.
@@ -73,6 +75,7 @@
         widened: Whether the workers do all that the users' pages allow, see
             `explorehostile`.
         max_lease_s: Longest lease in seconds that a worker accepts.
+        long_share: Share of the tasks whose runs are long.
     """
 
     seed: int
@@ -84,6 +87,7 @@
     faults: list
     widened: bool = False
     max_lease_s: float = MAX_LEASE_S
+    long_share: float = LONG_SHARE
 
     @property
     def faults_end_at(self):
--- a/tests/cell/exploreworkers.py
+++ b/tests/cell/exploreworkers.py
@@ -25,9 +25,8 @@
 LATE_ORDER_S = (0.5, 5.0)
 # Shortest and longest run of a task.
 RUN_S = (0.2, 5.0)
-# The same for a share of the tasks, which outlast the leases of a replaced owner.
+# The same for a share of the tasks, see `Plan`.
 LONG_RUN_S = (8.0, 15.0)
-LONG_SHARE = 0.15
 FAILED_SHARE = 0.08
 POLL_S = 0.05
 # Share of restarts after which the clock is behind that of the former incarnation, and
@@ -55,17 +54,15 @@
     Attributes:
         running: Runs in progress by task and number.
         down: Whether it has crashed and not started again.
-        long_share: Share of the long runs.
     """
 
-    long_share = LONG_SHARE
-
     def __init__(self, entry, plan, checker, faults):
         self.entry = entry
         self.name, self.cores = entry.vm, entry.capacity.cpu
         self.running = {}
         self.down = False
         self._seed, self._max_lease_s = plan.seed, plan.max_lease_s
+        self._long_share = plan.long_share
         self._checker, self._faults = checker, faults
         self._clock_offset_s = random.uniform(-100.0, 100.0)
         self._begin_incarnation()
@@ -174,7 +171,7 @@
         now = time.monotonic()
         failed = draw.random() < FAILED_SHARE
         how = EndKind.FAILED if failed else EndKind.DONE
-        is_long = draw.random() < self.long_share
+        is_long = draw.random() < self._long_share
         length = draw.uniform(*LONG_RUN_S if is_long else RUN_S)
         self.running[task, number] = _Run(now, now + length, how)
         return self._answer(OrderOutcome.ACCEPTED)
--- a/tests/cell/test_explorehostile.py
+++ b/tests/cell/test_explorehostile.py
@@ -28,7 +28,9 @@
 
     def __init__(self, *in_force):
         job = workloads.job(1, QUEUE, StepSpec(1, Resources(1.0, 1.0), 1.0))
-        plan = Plan(1, 1.0, "a", (WORKER,), {1: job}, [], [], widened=True)
+        plan = Plan(
+            *(1, 1.0, "a", (WORKER,), {1: job}, [], []), widened=True, long_share=1.0
+        )
         self.checker = RuleChecker(plan.jobs)
         self.checker.record_submission(job.job_id)
         self.faults = faults.FaultsInForce()
@@ -107,6 +109,17 @@
 
         play(run, late("start"))
 
+    def test_a_cut_does_not_keep_it(self):
+        """Guards against late orders that are only executed after a cut."""
+
+        async def run(setting):
+            await setting.start(lease_s=60.0)
+            setting.faults.faults.append(cut())
+            await curio.sleep(MAX_DELAY_S)
+            assert setting.checker.starts == 1
+
+        play(run, late("start"))
+
     def test_other_calls_are_in_time(self):
         """Guards against plans without late orders that have some."""
 
@@ -219,7 +232,6 @@
         """Guards against leases that end earlier than a slow clock allows."""
 
         async def run(setting):
-            setting.worker.long_share = 1.0
             began_at = time.monotonic()
             await setting.start(lease_s=60.0)
             while setting.runs:
