Tests: runs on a worker whose restart the owner does not see

The widened stand-in shows runs taken for ended that run on or start again: by the leases, although the restarted worker has longer ones (no late call is needed) or an order is in doubt, and by reports, stops and ends that bind only the incarnation that gave them.

--- a/tests/cell/test_explore.py
+++ b/tests/cell/test_explore.py
@@ -80,6 +80,42 @@
         assert code == 0
 
 
+class TestHostileWorkers:
+    """Pattern: workers restart unseen, are cut off and execute calls late.
+
+    The events of each seed say why the owner took a run for ended that ran on, or was
+    started later.
+    """
+
+    SMALL = ("--workers=3", "--seconds=5")
+
+    @pytest.mark.parametrize("seed", ["1-12"])
+    def test_no_rule_is_broken(self, seed):
+        """Guards against the faults that each rule of `RuleChecker` describes."""
+        code, lines = explore("run", f"--seeds={seed}", "--hostile", "--workers=6")
+        assert broken_rules(lines) == []
+        assert code == 0
+
+    @pytest.mark.parametrize(
+        "arguments",
+        [
+            pytest.param(("377", *SMALL), id="lease of an unseen incarnation"),
+            pytest.param(("409", *SMALL), id="order in doubt after the leases"),
+            pytest.param(("521", *SMALL), id="order after a stop"),
+            pytest.param(("245", "--workers=6"), id="order after a report"),
+            pytest.param(("76", "--workers=6"), id="first copy after the end"),
+        ],
+    )
+    def test_found_seeds(self, arguments):
+        """Guards against runs that are taken for ended and run on or start again.
+
+        `test_unseenrestart` plays most of these orders of events without a seed.
+        """
+        code, lines = explore("play", *arguments, "--hostile")
+        assert broken_rules(lines) == []
+        assert code == 0
+
+
 class TestMutants:
     """Each mutant lacks one safety mechanism."""
 
