--- a/tests/cell/exploreplan.py
+++ b/tests/cell/exploreplan.py
@@ -8,13 +8,15 @@
 from arbutusladder.messages import Resources, StepSpec
 from tests.cell import explorefaults as faults
 from tests.cell import workloads
-from tests.cell.inprocess import REGISTRY_TOPIC
+from tests.cell.inprocess import MAX_LEASE_S, REGISTRY_TOPIC
 
 QUEUE = workloads.queue("explore", 0, 2.0, 1.0, max_attempts=3)
 TOPICS = (JOBS_TOPIC, PROGRESS_TOPIC, OWNER_TOPIC, REGISTRY_TOPIC)
 # Messages of which single types are lost.
 KINDS = ("JobsRelay", "LogCall", "MemberHello", "OwnerBeat", "ProgressRelay")
 WORKER_CORES = 8.0
+# Share of the tasks that outlast the leases of a replaced owner.
+LONG_SHARE = 0.15
 # Share of the faults at an entry VM that hit the owner.
 OWNER_SHARE = 0.7
 # Shortest and longest time in seconds that a fault is in force.
@@ -70,6 +72,10 @@
         jobs: Submissions by number.
         requests: Requests of clients in order of time.
         faults: Faults in order of time.
+        widened: Whether the workers do all that the users' pages allow, see
+            `explorehostile`.
+        max_lease_s: Longest lease in seconds that a worker accepts.
+        long_share: Share of the tasks whose runs are long.
     """
 
     seed: int
@@ -79,6 +85,9 @@
     jobs: dict
     requests: list
     faults: list
+    widened: bool = False
+    max_lease_s: float = MAX_LEASE_S
+    long_share: float = LONG_SHARE
 
     @property
     def faults_end_at(self):
