End doubts that a later report has settled, and remember those of ended runs

- a doubt never ended, so a run that had been repeated a minute ago waited 18 s on a silent worker; a complete report requested 12 s after the order ends it.
Orders with tickets need no such wait.
- two copies in doubt: the end of the run by a third one is held and lost with a restart, and the next incarnation's end by the second copy was acknowledged at once.
Doubts are remembered by task, or by the step of a gang, also of finished ones.
- the end of an unsettled run, and of a speculative step, was held for nothing; a lease could be granted on a worker object that had been removed during the pause.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -597,6 +597,7 @@
             team=stage.job.team,
             charge=stage.spec.need,
             urgent=is_urgent(stage),
+            has_ticket=needs_advice(stage),
         )
         task = stage.tasks[index]
         task.runs.append(run)
@@ -659,21 +660,26 @@
     def end_run(self, worker: Worker, run: Run) -> Stage | None:
         """Removes a run from its worker and releases its resources.
 
-        While an order to start it is in doubt, it keeps its task from starting again.
+        While an order to start it is in doubt, it keeps them, and its task from
+        starting again.
 
         Returns:
             The step of the run, or None if its job is not in the state.
         """
-        if run.key in worker.run_by_key:
-            worker.remove_run(run)
-            self.team_ledger.release(run)
         stage = self._stage_of(run)
-        is_needed = stage and not stage.tasks[run.index].done
-        if is_needed and run.in_doubt and self._binds_task(stage):
+        is_present = run.key in worker.run_by_key
+        binds_task = stage and run.in_doubt and self._binds_task(stage)
+        if binds_task:
+            self.unsettled.record_doubt(run)
+        if is_present and binds_task and not stage.tasks[run.index].done:
             run.phase = RunPhase.UNSETTLED
-            self.unsettled.add(run)
-        else:
-            self._settle(run)
+            worker.detach_run(run)
+            self.unsettled.add(run, worker)
+            return stage
+        if is_present:
+            worker.remove_run(run)
+            self.team_ledger.release(run)
+        self._settle(run)
         return stage
 
     def _binds_task(self, stage: Stage) -> bool:
@@ -685,7 +691,8 @@
 
     def _settle(self, run: Run) -> None:
         """Removes a run that no order can start any more from its task."""
-        self.unsettled.remove(run)
+        if self.unsettled.remove(run):
+            self.team_ledger.release(run)
         stage = self._stage_of(run)
         if stage and run in stage.tasks[run.index].runs:
             stage.tasks[run.index].runs.remove(run)
@@ -718,6 +725,7 @@
             self._settle(run)
             return None
         self.unsettled.remove(run)
+        self.team_ledger.release(run)
         run.phase, run.changed_at = RunPhase.RUNNING, now
         run.progressed_at = run.observed_at = now
         run.stop_sent_at = run.stop_answered_at = None
--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -84,6 +84,8 @@
                 return
             if _are_all_held(worker, self._clock.now()):
                 await curio.sleep(HELD_ENDS_DELAY_S)
+                if self._state.worker_by_vm.get(vm) is not worker:
+                    continue
             sent_at = self._clock.now()
             unacknowledged_ends = worker.last_end_number > worker.acknowledged
             poll_timeout_s = (
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -10,8 +10,7 @@
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import EndKind, JobPhase, RunPhase
 from arbutusladder.cell.tasknames import job_id_of_task
-from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker
-from arbutusladder.cell.workerselection import needs_advice
+from arbutusladder.cell.workers import Worker
 
 if TYPE_CHECKING:
     from arbutusladder.cell.cellstate import CellState
@@ -62,7 +61,7 @@
             self._apply_running(worker, row, now)
         report_is_complete = len(report.ended) < MAX_REPORTED_ENDS
         if report_is_complete:
-            worker.listed_all_at = max(worker.listed_all_at, sent_at)
+            worker.record_complete_report(sent_at)
             missing = self._end_missing_runs(worker, report, listed, sent_at)
             if missing:
                 self._cell.record_runs_lost(worker, missing, "missing", now)
@@ -73,14 +72,14 @@
         run = worker.run_by_key.get((ended.task, ended.run))
         if run:
             run.listed = True
-        self._hold_end(worker, ended, stage, index, now)
-        if run:
-            self._cell.end_run(worker, run)
         else:
             self._cell.record_listed(
                 worker, ended.task, ended.run, ended.how.value, now
             )
             self._cell.end_unsettled_run(worker, (ended.task, ended.run))
+        if run:
+            self._cell.end_run(worker, run)
+        self._hold_end(worker, ended, stage, now)
         if stage is None or index >= len(stage.tasks):
             return
         task = stage.tasks[index]
@@ -115,7 +114,6 @@
         worker: Worker,
         ended: EndedTask,
         stage: Stage | None,
-        index: int,
         now: float,
     ) -> None:
         """Holds the acknowledgement of an end while the task may be started again.
@@ -124,16 +122,11 @@
         a second run of a task only if an end of it counts, and an end that was not
         acknowledged is lost with its incarnation.
         """
-        if stage is None or index >= len(stage.tasks):
-            return
-        counts = ended.how in (EndKind.DONE, EndKind.FAILED)
-        if not counts or stage.spec.lasting or needs_advice(stage):
+        if ended.how not in (EndKind.DONE, EndKind.FAILED):
             return
-        runs = stage.tasks[index].runs
-        if stage.spec.gang:
-            runs = [run for task in stage.tasks for run in task.runs]
-        ends = (run.ordered_at + MAX_ORDER_DELAY_S for run in runs if run.in_doubt)
-        until = max(ends, default=now)
+        until = self._cell.unsettled.doubt_ends_at(ended.task)
+        if stage and stage.spec.gang:
+            until = max([until, *(run.doubt_ends_at for run in stage.active_runs)])
         if until > now:
             worker.hold_end(ended.number, until)
 
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -9,6 +9,9 @@
 from arbutusladder.messages import Resources, StepSpec
 
 RunKey = tuple[str, int]
+# Seconds after which no worker executes an order any more that got no answer. The
+# users' workers carry late orders out up to 12 s after they were sent.
+MAX_ORDER_DELAY_S = 12.0
 
 
 @dataclass(slots=True, eq=False)
@@ -55,6 +58,7 @@
         pace_sent_at: Monotonic time in seconds of the last order for a pace.
         tail_learnt_at: Monotonic time in seconds at which its tail of response times
             was last used to learn what disturbs it.
+        has_ticket: Whether its orders carry tickets, valid on one incarnation only.
         measured: Whether its duration was used to learn the speed of its worker.
     """
 
@@ -90,6 +94,7 @@
     pace: int | None = 100
     pace_sent_at: float = -math.inf
     tail_learnt_at: float = -math.inf
+    has_ticket: bool = False
     measured: bool = False
 
     @property
@@ -107,6 +112,14 @@
         executed = 1 if self.listed and not self.accepted else 0
         return self.unanswered > executed
 
+    @property
+    def doubt_ends_at(self) -> float:
+        """Monotonic time in seconds from which on no order in doubt is executed.
+
+        It is -inf if no order is in doubt.
+        """
+        return self.ordered_at + MAX_ORDER_DELAY_S if self.in_doubt else -math.inf
+
     def record_start_answer(self, answer: OrderAnswer) -> None:
         """Records the answer to the last order to start it, in whatever phase it is."""
         if answer.outcome is OrderOutcome.UNKNOWN:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -7,7 +7,7 @@
 from arbutusladder.cell.interfaces import WorkerEntry
 from arbutusladder.cell.performance.longterm import WorkerSpeed
 from arbutusladder.cell.performance.speed import FINISHED_PERCENT, MIN_OBSERVATION_S
-from arbutusladder.cell.runs import Run, RunKey
+from arbutusladder.cell.runs import MAX_ORDER_DELAY_S, Run, RunKey
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId
 from arbutusladder.messages import Resources
@@ -34,9 +34,6 @@
 # Incarnations of a worker that are remembered beside the newest one; reports and
 # entries of earlier ones are too old to arrive.
 FORMER_BORNS = 8
-# Seconds after which no worker executes an order any more that got no answer. The
-# users' workers carry late orders out up to 12 s after they were sent.
-MAX_ORDER_DELAY_S = 12.0
 
 
 def longest_lease_s(lease_s: float) -> float:
@@ -207,6 +204,17 @@
             self._leases_expire_at = max(self._leases_expire_at or latest, latest)
         self.record_answer(clock, now)
 
+    def record_complete_report(self, sent_at: float) -> None:
+        """Records that the worker has listed all, and ends doubts of that time.
+
+        Args:
+            sent_at: Monotonic time in seconds at which the report was requested.
+        """
+        self.listed_all_at = max(self.listed_all_at, sent_at)
+        for run in self.run_by_key.values():
+            if run.in_doubt and run.doubt_ends_at < sent_at:
+                run.unanswered = 0
+
     def reserve(self, need: Resources) -> None:
         """Reserves resources."""
         self.free = subtract(self.free, need)
@@ -224,13 +232,21 @@
 
     def remove_run(self, run: Run) -> None:
         """Removes a run and releases its resources."""
-        if self.run_by_key.pop(run.key, None):
-            self.release(run.need)
-            if run.lasting:
-                self.lasting_need = subtract(self.lasting_need, run.need)
+        self.detach_run(run)
+        self.release_run(run)
+
+    def detach_run(self, run: Run) -> None:
+        """Removes a run whose resources stay reserved."""
+        del self.run_by_key[run.key]
         if self.trial_task == run.task:
             self.trial_task = None
 
+    def release_run(self, run: Run) -> None:
+        """Releases the resources of a run."""
+        self.release(run.need)
+        if run.lasting:
+            self.lasting_need = subtract(self.lasting_need, run.need)
+
     def record_end(self, number: int, job_id: JobId) -> None:
         """Records that the worker has reported an end of a run of a job."""
         self.last_end_number = number
@@ -345,6 +361,8 @@
             Monotonic time in seconds; -inf if the leases alone decide.
         """
         latest_end_s = latest_order_end_s(max_lease_s)
+        if run.has_ticket:
+            return -math.inf
         if not run.in_doubt and run.confirmed_born:
             is_of_former_incarnation = run.confirmed_born != self.born
             if is_of_former_incarnation or not self._restarted:
