Tests of clients that leave and come again, and of the port between entry VMs

The tests of clients that ignore limits keep each connection open, and none reaches the port between entry VMs. New ones, with small crowds and lowered limits: 60 clients that leave after 1 s and come again (chunks of one byte, long chunk extensions, pipelined requests, heads of many fields), and clients of the port between entry VMs (silent, incomplete messages, messages without end, junk).

--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -57,34 +57,82 @@
 }
 
 
+# Places for clients in the tests of clients that come again. They are more than the
+# clients, so an ordinary caller finds one if none is held for a client that has left.
+PLACES = 100
+# Clients that come again, and the time after which each opens a new connection.
+RETURNING_CLIENTS = 60
+STAY_S = 1.0
+# Ordinary callers, one after the other, and the time from connection to head of each.
+ORDINARY_CALLERS = 5
+HEAD_DELAY_S = 0.5
+# Refused clients that are read on, and descriptors that the process has itself.
+OTHER_DESCRIPTORS = 16 + MIN_FREE_DESCRIPTORS
+
+RETURNING_LOADS = {
+    "chunks of one byte": untrustedclients.send_one_byte_chunks,
+    "chunk extensions": untrustedclients.send_chunk_extensions,
+    "pipelined small requests": untrustedclients.pipeline_small_requests,
+    "pipelined heads of many fields": untrustedclients.pipeline_heads_of_many_fields,
+}
+
+PEER_LOADS = {
+    "silent connections": Load(untrustedclients.stay_idle, clients=250),
+    "connections without messages": Load(
+        untrustedclients.open_peer_connection, clients=250, stay_s=1.0
+    ),
+    "incomplete messages": Load(
+        untrustedclients.send_part_of_peer_message, clients=120, stay_s=3.0
+    ),
+    "messages without end": Load(
+        untrustedclients.send_peer_message_without_end, clients=2
+    ),
+    "junk messages": Load(untrustedclients.send_junk_peer_messages, clients=20),
+}
+# Descriptors of the process in the tests of the port for other entry VMs, and how many
+# other entry VMs it may know.
+PEER_TEST_DESCRIPTORS = 300
+PEER_TEST_ENTRY_VMS = 40
+
+
 class EntryProcess:
     """Runs the platform daemon in a process, with a fake store in a thread.
 
     Attributes:
-        front: Address for clients.
+        front: Port for clients.
+        ready: Port for readiness checks.
+        peer: Port for other entry VMs.
         process: Process of the daemon.
         descriptors: Largest number of open descriptors that was seen.
     """
 
-    def __init__(self, directory, max_descriptors):
+    def __init__(self, directory, max_descriptors, **input_limits):
         self._stopping = False
         self._store_ready = threading.Event()
         self._store_thread = threading.Thread(target=curio.run, args=(self._store,))
         self._store_thread.start()
         self._store_ready.wait()
-        self.front, ready, peer = (free_port(IP) for _ in range(3))
+        self.front, self.ready, self.peer = (free_port(IP) for _ in range(3))
         settings = {
             "node": "edge-0",
             "ip": IP,
-            "listen": {"front": f"{IP}:{self.front}", "ready": f"{IP}:{ready}"},
-            "port-range": [peer, peer],
+            "listen": {"front": f"{IP}:{self.front}", "ready": f"{IP}:{self.ready}"},
+            "port-range": [self.peer, self.peer],
             "platform": {"address": self._store_address, "form": "log"},
         }
         path = directory / "settings.json"
         path.write_text(json.dumps(settings))
+        limits_path = directory / "limits.yaml"
+        # JSON is YAML, too.
+        limits_path.write_text(json.dumps(input_limits))
         self._output = (directory / "output").open("wb")
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "arbutusladder.platform"],
+            [
+                sys.executable,
+                "-m",
+                "arbutusladder.platform",
+                f"--limits={limits_path}",
+            ],
             env=os.environ | {"ARBUTUSLADDER_BOOT": str(path)},
             stdout=self._output,
             stderr=subprocess.STDOUT,
@@ -122,12 +170,17 @@
         fields = dict(line.split(":", 1) for line in status.splitlines())
         return int(fields["VmHWM"].split()[0]) / 1024
 
-    async def ordinary_status(self):
-        """Returns the status of the response to an ordinary request, or None."""
+    async def ordinary_status(self, head_delay_s=0.0):
+        """Returns the status of the response to an ordinary request, or None.
+
+        Args:
+            head_delay_s: Seconds from the connection to the head.
+        """
         async with curio.ignore_after(ANSWER_S):
             try:
                 sock = await curio.open_connection(IP, self.front)
                 async with sock:
+                    await curio.sleep(head_delay_s)
                     await sock.sendall(request_head("GET", "/jobs/"))
                     answer = await sock.recv(1000)
                     return int(answer.split()[1]) if answer else None
@@ -163,20 +216,79 @@
     @pytest.mark.parametrize("load", LOADS.values(), ids=LOADS.keys())
     def test_process_stays_within_its_bounds(self, tmp_path, load):
         entry = EntryProcess(tmp_path, load.max_descriptors)
+        max_descriptors = load.max_descriptors - MIN_FREE_DESCRIPTORS
+        check_bounds(entry, load, entry.front, max_descriptors)
+
+
+@pytest.mark.xdist_group("untrusted_clients")
+class TestReturningClients:
+    """Pattern: clients whose requests take much work, and who leave and come again.
+
+    Guards against places that are held for clients who have left, and against
+    connections that delay all others.
+    """
+
+    @pytest.mark.parametrize(
+        "client", RETURNING_LOADS.values(), ids=RETURNING_LOADS.keys()
+    )
+    def test_ordinary_caller_finds_a_place(self, tmp_path, client):
+        load = Load(client, RETURNING_CLIENTS, stay_s=STAY_S)
+        entry = EntryProcess(tmp_path, load.max_descriptors, max_connections=PLACES)
+
+        async def first_failure():
+            for _ in range(ORDINARY_CALLERS):
+                status = await entry.ordinary_status(HEAD_DELAY_S)
+                if status != 200:
+                    break
+            return status
+
+        max_descriptors = PLACES + OTHER_DESCRIPTORS
+        check_bounds(entry, load, entry.front, max_descriptors, first_failure)
+
+
+@pytest.mark.xdist_group("untrusted_clients")
+class TestPeerPort:
+    """Pattern: clients that reach the port for other entry VMs.
+
+    Guards against connections and messages there that end or delay the process.
+    """
+
+    @pytest.mark.parametrize("load", PEER_LOADS.values(), ids=PEER_LOADS.keys())
+    def test_process_stays_within_its_bounds(self, tmp_path, load):
+        entry = EntryProcess(
+            tmp_path,
+            PEER_TEST_DESCRIPTORS,
+            entry_vms=PEER_TEST_ENTRY_VMS,
+            message_bytes=1048576,
+        )
+        max_descriptors = PEER_TEST_DESCRIPTORS - MIN_FREE_DESCRIPTORS
+        check_bounds(entry, load, entry.peer, max_descriptors)
+
+
+def check_bounds(entry, load, port, max_descriptors, get_status=None):
+    """Runs a load against a port, and checks the process and an ordinary request.
+
+    Args:
+        entry: Process to check; it is ended.
+        load: Clients to run.
+        port: Port to which they connect.
+        max_descriptors: Largest number of open descriptors that is allowed.
+        get_status: Returns the status of an ordinary request.
+    """
+    get_status = get_status or entry.ordinary_status
+
+    async def main():
+        await entry.wait_until_ready()
+        return await run_load(f"{IP}:{port}", load, LOAD_S, get_status)
 
-        async def main():
-            await entry.wait_until_ready()
-            address = f"{IP}:{entry.front}"
-            return await run_load(address, load, LOAD_S, entry.ordinary_status)
-
-        try:
-            status = curio.run(main)
-            assert entry.process.poll() is None, "the process has ended"
-            resident_mb = entry.peak_resident_mb()
-            measured = f"status {status}, {resident_mb:.0f} MB, {entry.descriptors} fds"
-            print(measured)
-            assert resident_mb <= MAX_RESIDENT_MB, measured
-            assert entry.descriptors <= load.max_descriptors - MIN_FREE_DESCRIPTORS
-            assert status == 200, measured
-        finally:
-            entry.close()
+    try:
+        status = curio.run(main)
+        assert entry.process.poll() is None, "the process has ended"
+        resident_mb = entry.peak_resident_mb()
+        measured = f"status {status}, {resident_mb:.0f} MB, {entry.descriptors} fds"
+        print(measured)
+        assert resident_mb <= MAX_RESIDENT_MB, measured
+        assert entry.descriptors <= max_descriptors, measured
+        assert status == 200, measured
+    finally:
+        entry.close()
--- a/tests/platform/untrustedclients.py
+++ b/tests/platform/untrustedclients.py
@@ -4,6 +4,7 @@
 everything that the server holds for a client is held for all of them together.
 """
 
+import struct
 from dataclasses import dataclass
 
 import curio
@@ -26,6 +27,25 @@
 # Steps of a job of two bytes each, just under the limit of 1,048,576 bytes.
 EMPTY_STEPS = 340_000
 NESTING_DEPTH = 500_000
+# Requests that a client sends without waiting for their responses.
+PIPELINED_REQUESTS = 10_000
+PIPELINED_HEADS = 50
+# Bytes of one chunk extension, just under the limit of an incomplete chunk header.
+EXTENSION_BYTES = 60_000
+EXTENDED_CHUNKS = 1000
+# First bytes of a connection of ZMTP 3.0 (https://rfc.zeromq.org/spec/23/): signature,
+# version, security mechanism and the role of a client.
+ZMTP_GREETING = (
+    b"\xff" + bytes(8) + b"\x7f\x03\x00" + b"NULL".ljust(20, b"\0") + bytes(32)
+)
+ZMTP_READY = b"\x05READY\x0bSocket-Type\x00\x00\x00\x04PUSH"
+# Flags of a ZMTP frame.
+ZMTP_MORE, ZMTP_LARGE, ZMTP_COMMAND = 1, 2, 4
+# Frames and messages of a peer, below the smallest limit of a message of 1 MiB.
+PEER_FRAME_BYTES = 65536
+PEER_FRAMES = 4000
+PEER_MESSAGE_BYTES = 1_000_000
+JUNK_MESSAGES = 10_000
 
 
 def request_head(method, path, *fields):
@@ -113,6 +133,73 @@
     """Sends nothing."""
 
 
+async def pipeline_small_requests(sock):
+    """Sends very many small requests and reads the responses."""
+    await _send_and_read(sock, request_head("GET", "/") * PIPELINED_REQUESTS)
+
+
+async def pipeline_heads_of_many_fields(sock):
+    """Sends heads inside the limit with many small fields, and reads the responses."""
+    head = request_head("GET", "/", *["a:"] * SMALL_FIELDS)
+    await _send_and_read(sock, head * PIPELINED_HEADS)
+
+
+async def send_chunk_extensions(sock):
+    """Sends chunks of one byte, each with a long extension."""
+    await send(sock, request_head("POST", PATH, "Transfer-Encoding: chunked"))
+    chunk = b"1;" + b"x" * EXTENSION_BYTES + b"\r\nx\r\n"
+    for _ in range(EXTENDED_CHUNKS):
+        await send(sock, chunk)
+
+
+async def open_peer_connection(sock):
+    """Begins a connection between entry VMs and sends no message."""
+    await sock.sendall(ZMTP_GREETING + zmtp_frame(ZMTP_COMMAND, ZMTP_READY))
+    # A message that arrives before the answer is a protocol error.
+    answer = b""
+    while b"READY" not in answer:
+        data = await sock.recv(PIECE_BYTES)
+        if not data:
+            raise ConnectionResetError
+        answer += data
+
+
+async def send_part_of_peer_message(sock):
+    """Sends a message of an entry VM, but for its last byte."""
+    await open_peer_connection(sock)
+    await send(sock, zmtp_frame(0, bytes(PEER_MESSAGE_BYTES))[:-1])
+
+
+async def send_peer_message_without_end(sock):
+    """Sends a message of many frames that never ends."""
+    await open_peer_connection(sock)
+    frame = zmtp_frame(ZMTP_MORE, bytes(PEER_FRAME_BYTES))
+    for _ in range(PEER_FRAMES):
+        await send(sock, frame)
+
+
+async def send_junk_peer_messages(sock):
+    """Sends messages that can't be decoded, without end."""
+    await open_peer_connection(sock)
+    junk = zmtp_frame(0, b"x") * JUNK_MESSAGES
+    while True:
+        await send(sock, junk)
+
+
+def zmtp_frame(flags, body):
+    """Returns a frame of ZMTP."""
+    if len(body) < 256:
+        return bytes([flags, len(body)]) + body
+    return struct.pack(">BQ", flags | ZMTP_LARGE, len(body)) + body
+
+
+async def _send_and_read(sock, data):
+    async with curio.TaskGroup() as group:
+        await group.spawn(send, sock, data)
+        while await sock.recv(PIECE_BYTES):
+            pass
+
+
 @dataclass
 class Load:
     """A number of clients of one class.
@@ -121,14 +208,28 @@
         client: Coroutine function that runs one of them on a connection.
         clients: Number of them.
         max_descriptors: Descriptors that the process of the server may have.
+        stay_s: Seconds after which a client closes its connection and opens another
+            one; 0 if it stays.
     """
 
     client: object
     clients: int = 200
     max_descriptors: int = 1000
+    stay_s: float = 0.0
+
+
+async def _run_client(address, load):
+    if not load.stay_s:
+        await _run_connection(address, load.client)
+        return
+    while True:
+        async with curio.ignore_after(load.stay_s):
+            await _run_connection(address, load.client)
+            # The server has closed the connection early.
+            await curio.sleep(load.stay_s)
 
 
-async def _run_client(address, client):
+async def _run_connection(address, client):
     host, port = address.split(":")
     try:
         sock = await curio.open_connection(host, int(port))
@@ -152,10 +253,7 @@
     Returns:
         The result of the function.
     """
-    tasks = [
-        await curio.spawn(_run_client, address, load.client)
-        for _ in range(load.clients)
-    ]
+    tasks = [await curio.spawn(_run_client, address, load) for _ in range(load.clients)]
     try:
         async with curio.ignore_after(seconds):
             for task in tasks:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -9,7 +9,12 @@
 from arbutusladder.clock import Clock
 from arbutusladder.messages import Acknowledgement, DrainVm
 from arbutusladder.metrics import Metrics
-from arbutusladder.peers import MAX_MESSAGE_BYTES, PeerLimits, PeerTransport
+from arbutusladder.peers import (
+    MAX_MESSAGE_BYTES,
+    MAX_QUEUED_MESSAGES,
+    PeerLimits,
+    PeerTransport,
+)
 
 WAIT_S = 5.0
 
@@ -244,3 +249,30 @@
             return found
 
         assert curio.run(scenario) == [True, False]
+
+    def test_waiting_messages_do_not_delay_other_tasks(self):
+        """Guards against a process that does nothing but read while messages wait."""
+        sent = 2 * MAX_QUEUED_MESSAGES
+        metrics = Metrics()
+
+        class FullQueue:
+            remaining = sent
+
+            def recv(self, flags):
+                if not self.remaining:
+                    raise zmq.Again
+                self.remaining -= 1
+                return b"x"
+
+        async def main():
+            transport = PeerTransport("c", "127.0.0.1:0", {}, None, Clock(), metrics)
+            with transport._pull_socket:
+                transport._pull_socket = FullQueue()
+                task = await curio.spawn(transport._receive_pending)
+                await curio.sleep(0)
+                received_before_turn = metrics.count_by_name["peers.malformed"]
+                await task.join()
+            return received_before_turn
+
+        assert curio.run(main) < MAX_QUEUED_MESSAGES
+        assert metrics.count_by_name["peers.malformed"] == sent
