Close connections that clients have left before others, without reading them

Clients that send chunks of one byte or long chunk extensions, leave after a second and come again closed out ordinary callers: their connections were closed without an answer while fewer clients than places were there.

Connections of clients that had left held their places meanwhile. For a new caller the longest idle connection was closed first, which was that of the caller before, whose head had not arrived yet; all others were busy.

Change: an epoll set reports closed connections (EPOLLRDHUP) without a read. If there are too many, these are closed first, unless the handler has seen the request. A connection counts as idle only after 1 s; then the slowest sender gives way. A client that has only closed its sending side is served otherwise.

--- a/arbutusladder/httplimits/limiter.py
+++ b/arbutusladder/httplimits/limiter.py
@@ -8,7 +8,8 @@
 
 from arbutusladder.config import load_yaml_file
 from arbutusladder.httplimits.budget import RequestBudget
-from arbutusladder.httplimits.connections import ConnectionTable
+from arbutusladder.httplimits.connections import MIN_IDLE_S, ConnectionTable
+from arbutusladder.httplimits.departures import DepartureWatch
 from arbutusladder.httplimits.refusals import Limit, RefusalLog
 from arbutusladder.journal import Journal
 from arbutusladder.metrics import Metrics
@@ -57,6 +58,7 @@
         settings: Settings of the limits.
         budget: Memory of unfinished requests.
         connections: Open connections.
+        departures: Watch for clients that have left.
         weigh: Returns the bytes of memory that a handler needs for a body.
         discards: Connections whose data is being discarded.
     """
@@ -77,6 +79,7 @@
             min(limit, _client_descriptors(settings.reserved_descriptors)),
             settings.peer_connections,
         )
+        self.departures = DepartureWatch()
         self.weigh = weigh
         self.discards = 0
         self._log = RefusalLog(metrics or Metrics(), journal)
@@ -110,18 +113,28 @@
         """
         limit = self.connections.exceeded_limit(host)
         if limit is Limit.PEER_CONNECTIONS:
-            self.connections.close_idle(host)
+            self.departures.close_departed()
+            if self.connections.exceeded_limit(host) is limit:
+                self.connections.close_idle(host)
         elif limit is Limit.CONNECTIONS:
             self.free_connection(now)
         return limit
 
     def free_connection(self, now: float) -> bool:
-        """Closes an idle connection, or else makes the slowest sender give way.
+        """Closes a connection to admit another one.
+
+        Connections that clients have left come first, then those idle for some time,
+        then the slowest sender, then those idle for a short time.
 
         Returns:
             Whether there was one.
         """
-        return self.connections.close_idle() or self.budget.shed_slowest(now)
+        return (
+            self.departures.close_departed() > 0
+            or self.connections.close_idle(idle_since=now - MIN_IDLE_S)
+            or self.budget.shed_slowest(now)
+            or self.connections.close_idle()
+        )
 
 
 def _client_descriptors(reserved: int) -> int:
--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -86,7 +86,8 @@
         )
         self._held = HeldRequest(self._give_way)
         self._entry = OpenConnection(peer.rpartition(":")[0], self._close_at_once)
-        limiter.connections.add(self._entry)
+        limiter.connections.add(self._entry, time.monotonic())
+        limiter.departures.add(sock.fileno(), self._close_departed)
         self._body = bytearray()
         self._head_memory = 0
         self._unprocessed = 0
@@ -94,6 +95,7 @@
         self._chunks = 0
         self._head_deadline: float | None = None
         self._reads_body = False
+        self._is_handled = False
         self._closed = False
 
     async def __aenter__(self) -> "ServerConnection":
@@ -105,6 +107,7 @@
     async def __aexit__(self, *error: object) -> None:
         self._limiter.budget.release(self._held)
         self._limiter.connections.remove(self._entry)
+        self._limiter.departures.remove(self._sock.fileno())
         await self._sock.close()
 
     async def read_request(self) -> HttpRequest | None:
@@ -129,6 +132,7 @@
             weight = self._head_memory + self._limiter.weigh(body)
             if not self._limiter.budget.settle(self._held, weight, time.monotonic()):
                 raise memory_shortage()
+        self._is_handled = True
         target = head.target.decode("latin-1")
         parts = urlsplit(target)
         return HttpRequest(
@@ -222,7 +226,7 @@
         body = b"" if request.method == "HEAD" else response.body
         self._limiter.budget.release(self._held)
         # A client that does not read its response may be disconnected like an idle one.
-        self._limiter.connections.set_idle(self._entry)
+        self._limiter.connections.set_idle(self._entry, time.monotonic())
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
         if self._closed or self._protocol.our_state is not h11.DONE:
             return False
@@ -294,6 +298,7 @@
         self._limits = self._limiter.request_limits
         self._head_memory = 0
         self._reads_body = False
+        self._is_handled = False
         self._unprocessed = len(self._protocol.trailing_data[0])
         if self._unprocessed:
             self._limiter.connections.set_busy(self._entry)
@@ -318,6 +323,8 @@
         self._events = 0
         self._charge(len(self._body) + READ_BYTES if self._reads_body else 0)
         await curio.sleep(0)
+        if self._closed:
+            raise ConnectionResetError
         self._check_memory()
 
     async def _receive(self) -> None:
@@ -376,6 +383,16 @@
         self._limiter.connections.remove(self._entry)
         self._shut_down(socket.SHUT_RD)
 
+    def _close_departed(self) -> bool:
+        """Closes the connection, unless the handler has seen the request."""
+        if self._is_handled or self._closed:
+            return False
+        self._limiter.budget.release(self._held)
+        self._limiter.connections.remove(self._entry)
+        self._body = bytearray()
+        self._close_at_once()
+        return True
+
     def _close_at_once(self) -> None:
         self._closed = True
         self._shut_down(socket.SHUT_RDWR)
--- a/tests/test_httplimits.py
+++ b/tests/test_httplimits.py
@@ -1,5 +1,7 @@
 """Tests of the limits of what clients of an HTTP server may use."""
 
+import socket
+
 import curio
 import pytest
 
@@ -7,6 +9,7 @@
 from arbutusladder.httpclient import HttpResponse, request
 from arbutusladder.httplimits.budget import HeldRequest, RequestBudget
 from arbutusladder.httplimits.connections import ConnectionTable, OpenConnection
+from arbutusladder.httplimits.departures import DepartureWatch
 from arbutusladder.httplimits.limiter import HttpLimiter, RequestLimits, load_limits
 from arbutusladder.httplimits.refusals import Limit
 from arbutusladder.httpserver import HttpServer
@@ -75,7 +78,7 @@
         table = ConnectionTable(4)
         for number, host in enumerate("abbb"):
             connection = OpenConnection(host, lambda n=number: closed.append(n))
-            table.add(connection)
+            table.add(connection, 0.0)
             if number == 1:
                 table.set_busy(connection)
         assert table.exceeded_limit("c") is Limit.CONNECTIONS
@@ -83,27 +86,79 @@
         assert closed == [2]
         assert table.exceeded_limit("c") is None
 
+    def test_new_connection_is_not_idle_at_once(self):
+        """Guards against a caller that is disconnected before its head can arrive."""
+        closed = []
+        table = ConnectionTable(2)
+        for number in range(2):
+            connection = OpenConnection("a", lambda n=number: closed.append(n))
+            table.add(connection, float(number))
+        assert not table.close_idle(idle_since=-0.5)
+        assert table.close_idle(idle_since=0.5)
+        assert not table.close_idle(idle_since=0.5)
+        assert closed == [0]
+
     def test_busy_connections_stay_open(self):
         table = ConnectionTable(1)
         connection = OpenConnection("a", lambda: pytest.fail("closed"))
-        table.add(connection)
+        table.add(connection, 0.0)
         table.set_busy(connection)
         assert not table.close_idle()
         table.remove(connection)
         assert len(table) == 0
 
 
+class TestDepartures:
+    """Guards against places that are held for clients that have left."""
+
+    @pytest.mark.parametrize("is_closed", [True, False])
+    def test_client_that_has_left_is_found_before_its_data_is_read(self, is_closed):
+        watch = DepartureWatch()
+        found = []
+        client, server = socket.socketpair()
+        with client, server:
+            watch.add(server.fileno(), lambda: not found.append("closed"))
+            client.sendall(b"data")
+            if is_closed:
+                client.close()
+            assert watch.close_departed() == len(found) == is_closed
+            watch.remove(server.fileno())
+            assert watch.close_departed() == 0
+
+    def test_request_that_the_handler_has_seen_is_answered(self):
+        """Guards against a lost answer to a client that has only ended sending."""
+
+        async def client(address):
+            host, port = address.split(":")
+            first = await curio.open_connection(host, int(port))
+            async with first:
+                await first.sendall(HEAD + b"Content-Length: 1\r\n\r\nx")
+                await first.shutdown(socket.SHUT_WR)
+                await curio.sleep(0.5)
+                last = await curio.open_connection(host, int(port))
+                async with last:
+                    return await first.recv(10_000)
+
+        async def wait_and_echo(http_request):
+            await curio.sleep(2.0)
+            return await echo(http_request)
+
+        settings = InputLimits(max_connections=1)
+        answer, _ = serve(client, settings, handler=wait_and_echo)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+
 async def echo(http_request):
     return HttpResponse(200, [], http_request.body)
 
 
-def serve(client, settings=None, get_limits=lambda: None):
+def serve(client, settings=None, get_limits=lambda: None, handler=echo):
     """Runs a client against a server and returns its result and the counters."""
     metrics = Metrics()
 
     async def main():
         limiter = HttpLimiter(settings or InputLimits(), metrics, get_limits=get_limits)
-        server = HttpServer("127.0.0.1:0", echo, limiter=limiter)
+        server = HttpServer("127.0.0.1:0", handler, limiter=limiter)
         task = await curio.spawn(server.run)
         try:
             return await client(server.address)
