Let other tasks run while messages between entry VMs wait

Cause: reading a message that waits in the ZeroMQ socket does not suspend the task, so a sender of small undecodable messages kept the process in this loop as long as it sent faster than the messages were read. In a trial with 20 such clients an ordinary request waited 7.3 s, and in another one six requests were not answered within 300 s.

Change: the loop yields after 100 messages.

Measured: test_waiting_messages_do_not_delay_other_tasks reads 4,000 messages in one turn before (failed 3 of 3 times), passed 3 of 3 times now.

--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -34,6 +34,8 @@
 MAX_PEERS = 400
 # Messages queued for each peer, also the high-water mark of the sockets.
 MAX_QUEUED_MESSAGES = 2000
+# Messages handled before other tasks run.
+MESSAGES_PER_TURN = 100
 # Seconds after a connect during which messages wait for the connection instead of
 # being dropped: several round trips between failure domains.
 CONNECT_WAIT_S = 0.2
@@ -286,7 +288,12 @@
                 await _read_wait(descriptor)
 
     async def _receive_pending(self) -> None:
+        received_count = 0
         while True:
+            # Reading waiting messages does not suspend the task.
+            received_count += 1
+            if received_count % MESSAGES_PER_TURN == 0:
+                await curio.sleep(0)
             try:
                 data = self._pull_socket.recv(zmq.NOBLOCK)
             except zmq.Again:
