Send no heartbeats on the receiving sockets between entry VMs

A client of the port between entry VMs that sends many small messages and leaves ends the process: ZeroMQ 4.3.5 aborts with 'Assertion failed: !_io_error (src/stream_engine_base.cpp:310)'.

Cause: when the queue of a connection is full, ZeroMQ stops reading from it. If the connection breaks then, the engine records the fault until it may read again, but the timer of the heartbeats still calls its output function, which asserts that there was no fault.

Change: the receiving socket sends no heartbeats. Those of the sending socket continue, and carry a time limit after which the receiver closes the connection; TCP keepalive covers senders without one. A fault of the same kind remains if a client sends a ZMTP ping among the queued messages and leaves: by reading, the answer calls the same function; not played.

--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -26,6 +26,8 @@
 ZMQ_HEARTBEAT_TIMEOUT_MS = 1500
 RECONNECT_MS = 100
 MAX_RECONNECT_MS = 1000
+# Idle time of a connection after which the kernel checks whether the other side lives.
+KEEPALIVE_S = 5
 # Largest message, which is above the largest response of the log that one entry VM
 # reads for another (16 MB).
 MAX_MESSAGE_BYTES = 32 * 1024 * 1024
@@ -362,14 +364,22 @@
 ) -> zmq.Socket:
     sock = context.socket(zmq.PULL)
     sock.setsockopt(zmq.MAXMSGSIZE, limits.max_message_bytes)
-    _set_heartbeat_options(sock)
+    _set_queue_limits(sock)
+    # ZeroMQ 4.3.5 ends the process if it sends a heartbeat on a connection that broke
+    # while its queue was full. The heartbeats of the sender carry a time limit instead.
+    sock.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_S)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_S)
     sock.bind(f"tcp://{listen}")
     return sock
 
 
 def _create_push_socket(context: zmq.Context, address: str) -> zmq.Socket:
     sock = context.socket(zmq.PUSH)
-    _set_heartbeat_options(sock)
+    _set_queue_limits(sock)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, ZMQ_HEARTBEAT_MS)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, ZMQ_HEARTBEAT_TIMEOUT_MS)
+    sock.setsockopt(zmq.HEARTBEAT_TTL, ZMQ_HEARTBEAT_TIMEOUT_MS)
     sock.setsockopt(zmq.IMMEDIATE, 1)
     sock.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
     sock.setsockopt(zmq.RECONNECT_IVL_MAX, MAX_RECONNECT_MS)
@@ -381,8 +391,6 @@
     return sock
 
 
-def _set_heartbeat_options(sock: zmq.Socket) -> None:
-    sock.setsockopt(zmq.HEARTBEAT_IVL, ZMQ_HEARTBEAT_MS)
-    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, ZMQ_HEARTBEAT_TIMEOUT_MS)
+def _set_queue_limits(sock: zmq.Socket) -> None:
     sock.setsockopt(zmq.SNDHWM, MAX_QUEUED_MESSAGES)
     sock.setsockopt(zmq.RCVHWM, MAX_QUEUED_MESSAGES)
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -88,6 +88,9 @@
         untrustedclients.send_peer_message_without_end, clients=2
     ),
     "junk messages": Load(untrustedclients.send_junk_peer_messages, clients=20),
+    "junk messages of clients that leave": Load(
+        untrustedclients.send_junk_peer_messages, clients=20, stay_s=1.0
+    ),
 }
 # Descriptors of the process in the tests of the port for other entry VMs, and how many
 # other entry VMs it may know.
