Bound connections to the port between entry VMs and what they hold

Two clients of this port that send a message of ever more frames took a process to 541 MB, and clients that send nothing took 268 of 300 descriptors.

Cause: the size limit of ZeroMQ is one of a frame, its limit on queued messages counts complete ones, and it accepts connections without a bound.

Change: PeerGuard, a thread, follows the accepted connections by the events of the socket and ends those beyond a number, those that hold more than two messages of the largest size or an incomplete one for 10 s, and, above 40 MB in all, those without a readable message first. A thread, since the process may handle something else for long. The exchange at the beginning of a connection may take 3 s instead of 30 s. The test of waiting messages uses frames, as the transport reads them now; its checks are the same.

--- a/arbutusladder/docgen.py
+++ b/arbutusladder/docgen.py
@@ -223,6 +223,8 @@
         + ", ".join(_format_code(limit.value) for limit in Limit)
         + ". `peers.too_large` counts messages to other entry VMs that were too large "
         "to be sent, and `peers.too_many` connections to others that were not opened. "
+        "`peers.limit_connections` and `peers.limit_received_bytes` count connections "
+        "to the port for other entry VMs that were ended. "
         "The limits are described in "
         "[configuration.md](configuration.md#inputlimits).",
     )
--- a/arbutusladder/peers.py
+++ b/arbutusladder/peers.py
@@ -6,6 +6,7 @@
 for a connection would arrive too late.
 """
 
+import time
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
@@ -19,6 +20,7 @@
 from arbutusladder.errors import ProtocolError
 from arbutusladder.ids import RequestId, SeatId
 from arbutusladder.metrics import Metrics
+from arbutusladder.peerguard import PeerGuard
 
 # Heartbeats of ZeroMQ itself, which detect a broken connection, and the waits before it
 # connects again.
@@ -36,6 +38,11 @@
 MAX_PEERS = 400
 # Messages queued for each peer, also the high-water mark of the sockets.
 MAX_QUEUED_MESSAGES = 2000
+# Header of a frame of ZMTP, which has 2 bytes up to this size of its body.
+MAX_SHORT_FRAME = 255
+LONG_FRAME_HEADER_BYTES = 9
+# Time for the exchange at the beginning of a connection.
+HANDSHAKE_MS = 3000
 # Messages handled before other tasks run.
 MESSAGES_PER_TURN = 100
 # Seconds after a connect during which messages wait for the connection instead of
@@ -120,6 +127,9 @@
         self._context = zmq.Context(io_threads=1)
         self._pull_socket = _create_pull_socket(self._context, listen, limits)
         self.address = self._pull_socket.getsockopt_string(zmq.LAST_ENDPOINT)[6:]
+        self._guard = PeerGuard(
+            self._pull_socket, limits.max_peers, limits.max_message_bytes, metrics
+        )
         self._queue_by_seat: dict[SeatId, curio.Queue] = {}
         self._push_socket_by_seat: dict[SeatId, zmq.Socket] = {}
         self._address_by_seat: dict[SeatId, str] = {}
@@ -297,17 +307,26 @@
             if received_count % MESSAGES_PER_TURN == 0:
                 await curio.sleep(0)
             try:
-                data = self._pull_socket.recv(zmq.NOBLOCK)
+                frame = self._pull_socket.recv(zmq.NOBLOCK, copy=False)
             except zmq.Again:
+                self._guard.drained_at = time.monotonic()
                 return
+            data = frame.bytes
             self._metrics.count("peers.received_bytes", len(data))
             try:
                 received = self._decode(data)
             except ProtocolError:
                 self._metrics.count("peers.malformed")
+                self._add_read(frame, is_readable=False)
                 continue
+            self._add_read(frame, is_readable=True)
             await self._handle(received)
 
+    def _add_read(self, frame: zmq.Frame, is_readable: bool) -> None:
+        size = len(frame)
+        header = LONG_FRAME_HEADER_BYTES if size > MAX_SHORT_FRAME else 2
+        self._guard.add_read(frame.get(zmq.SRCFD), size + header, is_readable)
+
     async def _handle(self, received: ReceivedMessage) -> None:
         # Other messages must be handled even if one has content that the handler does
         # not expect; the sender's timeout covers the dropped one.
@@ -345,6 +364,7 @@
                 self._metrics.count("peers.dropped")
 
     def _close(self) -> None:
+        self._guard.stop()
         self._pull_socket.close(linger=0)
         for push_socket in self._push_socket_by_seat.values():
             push_socket.close(linger=LINGER_MS)
@@ -364,6 +384,7 @@
 ) -> zmq.Socket:
     sock = context.socket(zmq.PULL)
     sock.setsockopt(zmq.MAXMSGSIZE, limits.max_message_bytes)
+    sock.setsockopt(zmq.HANDSHAKE_IVL, HANDSHAKE_MS)
     _set_queue_limits(sock)
     # ZeroMQ 4.3.5 ends the process if it sends a heartbeat on a connection that broke
     # while its queue was full. The heartbeats of the sender carry a time limit instead.
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -255,14 +255,18 @@
         sent = 2 * MAX_QUEUED_MESSAGES
         metrics = Metrics()
 
+        class JunkFrame(zmq.Frame):
+            def get(self, option):
+                return -1
+
         class FullQueue:
             remaining = sent
 
-            def recv(self, flags):
+            def recv(self, flags, copy):
                 if not self.remaining:
                     raise zmq.Again
                 self.remaining -= 1
-                return b"x"
+                return JunkFrame(b"x")
 
         async def main():
             transport = PeerTransport("c", "127.0.0.1:0", {}, None, Clock(), metrics)
