Bound the processor time that requests being received take for one turn each

A turn had up to 16 events, and a head of 3,000 fields is one event as a chunk of one byte is. 60 clients with pipelined heads of this kind delayed an ordinary request by 1.7 to 2.1 s, and with it everything else in the process.

Change: a turn also ends after 1 ms of the thread's processor time spent on parsing. waiting_turns_s (0.1 s) bounds the sum of the last turns of all connections that wait for the next one; beyond it connections that clients have left are closed, then the requests that have taken most are refused with 503 and Retry-After before the handler has seen them. One request is always admitted. The time of the thread does not count pauses of the process or other load.

TestTurns passes; it has no run on the code before, as the limit did not exist. The eight process tests of chunks, heads and clients that come again passed, one run each.

--- a/arbutusladder/httplimits/limiter.py
+++ b/arbutusladder/httplimits/limiter.py
@@ -11,6 +11,7 @@
 from arbutusladder.httplimits.connections import MIN_IDLE_S, ConnectionTable
 from arbutusladder.httplimits.departures import DepartureWatch
 from arbutusladder.httplimits.refusals import Limit, RefusalLog
+from arbutusladder.httplimits.turns import TurnQueue, TurnWork
 from arbutusladder.journal import Journal
 from arbutusladder.metrics import Metrics
 from arbutusladder.settings import InputLimits, Settings
@@ -59,6 +60,7 @@
         budget: Memory of unfinished requests.
         connections: Open connections.
         departures: Watch for clients that have left.
+        turns: Connections that wait for their next turn.
         weigh: Returns the bytes of memory that a handler needs for a body.
         discards: Connections whose data is being discarded.
     """
@@ -79,6 +81,7 @@
             min(limit, _client_descriptors(settings.reserved_descriptors)),
             settings.peer_connections,
         )
+        self.turns = TurnQueue(settings.waiting_turns_s)
         self.departures = DepartureWatch()
         self.weigh = weigh
         self.discards = 0
@@ -120,6 +123,20 @@
             self.free_connection(now)
         return limit
 
+    def begin_turn_wait(self, work: TurnWork, cost_s: float) -> None:
+        """Adds a connection that waits for its next turn.
+
+        If all turns together take too long, connections that clients have left are
+        closed first, then the requests that have taken most give way.
+
+        Args:
+            work: Work of the connection.
+            cost_s: Processor time of its last turn in seconds.
+        """
+        if not self.turns.begin_wait(work, cost_s):
+            self.departures.close_departed()
+            self.turns.shed_heaviest()
+
     def free_connection(self, now: float) -> bool:
         """Closes a connection to admit another one.
 
@@ -149,6 +166,7 @@
     settings = InputLimits(
         body_bytes=max_body,
         unfinished_bytes=UNBOUNDED,
+        waiting_turns_s=UNBOUNDED,
         max_connections=max_connections,
         reserved_descriptors=0,
     )
--- a/arbutusladder/httplimits/refusals.py
+++ b/arbutusladder/httplimits/refusals.py
@@ -26,6 +26,7 @@
     READ_TIME = "read_time"
     CHUNKS = "chunks"
     UNFINISHED_BYTES = "unfinished_bytes"
+    PROCESSOR_TIME = "processor_time"
     CONNECTIONS = "connections"
     PEER_CONNECTIONS = "peer_connections"
     DESCRIPTORS = "descriptors"
@@ -50,6 +51,10 @@
         HTTPStatus.SERVICE_UNAVAILABLE,
         Reason.UNFINISHED_BYTES_FULL,
     ),
+    Limit.PROCESSOR_TIME: (
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        Reason.UNFINISHED_BYTES_FULL,
+    ),
 }
 
 
@@ -80,6 +85,15 @@
     )
 
 
+def processor_shortage() -> RequestRefused:
+    """Returns the refusal of a request for which there is no processor time."""
+    return RequestRefused(
+        Limit.PROCESSOR_TIME,
+        "the server is short of processor time for requests; retry after the given "
+        "time, with fewer and larger parts",
+    )
+
+
 class RefusalLog:
     """Counts refusals, and logs them at a bounded rate.
 
--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -15,7 +15,13 @@
 from arbutusladder.httplimits.budget import HeldRequest
 from arbutusladder.httplimits.connections import OpenConnection
 from arbutusladder.httplimits.limiter import HttpLimiter, RequestLimits
-from arbutusladder.httplimits.refusals import Limit, RequestRefused, memory_shortage
+from arbutusladder.httplimits.refusals import (
+    Limit,
+    RequestRefused,
+    memory_shortage,
+    processor_shortage,
+)
+from arbutusladder.httplimits.turns import TURN_S, TurnWork
 from arbutusladder.messages import Header
 from arbutusladder.states import Outcome, Reason
 
@@ -85,6 +91,7 @@
             ),
         )
         self._held = HeldRequest(self._give_way)
+        self._work = TurnWork(self._give_way)
         self._entry = OpenConnection(peer.rpartition(":")[0], self._close_at_once)
         limiter.connections.add(self._entry, time.monotonic())
         limiter.departures.add(sock.fileno(), self._close_departed)
@@ -92,6 +99,7 @@
         self._head_memory = 0
         self._unprocessed = 0
         self._events = 0
+        self._turn_s = 0.0
         self._chunks = 0
         self._head_deadline: float | None = None
         self._reads_body = False
@@ -306,25 +314,35 @@
     async def _next_event(self) -> h11.Event | type:
         while True:
             await self._yield_turn()
+            # The time of this thread, so that a pause of the process is no work.
+            started_at = time.thread_time()
             event = self._protocol.next_event()
+            self._turn_s += time.thread_time() - started_at
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
 
     async def _yield_turn(self) -> None:
-        """Lets other connections run after a number of events of this one.
+        """Lets other connections run after some events or some work of this one.
 
         Reading from a socket that always has data doesn't wait, so without this a
         client that sends fast would delay all others.
         """
         self._events += 1
-        if self._events < self._limiter.settings.events_per_turn:
+        is_turn_over = self._events >= self._limiter.settings.events_per_turn
+        if not is_turn_over and self._turn_s < TURN_S:
             return
-        self._events = 0
+        cost_s, self._turn_s, self._events = self._turn_s, 0.0, 0
         self._charge(len(self._body) + READ_BYTES if self._reads_body else 0)
-        await curio.sleep(0)
+        self._limiter.begin_turn_wait(self._work, cost_s)
+        try:
+            await curio.sleep(0)
+        finally:
+            self._limiter.turns.end_wait(self._work)
         if self._closed:
             raise ConnectionResetError
+        if self._work.gave_way:
+            raise processor_shortage()
         self._check_memory()
 
     async def _receive(self) -> None:
@@ -349,6 +367,7 @@
 
     async def _receive_first(self) -> None:
         """Waits for the first bytes of a request."""
+        self._work.spent_s = 0.0
         async with curio.timeout_after(IDLE_TIMEOUT_S):
             data = await self._sock.recv(READ_BYTES)
         self._limiter.connections.set_busy(self._entry)
@@ -389,6 +408,7 @@
             return False
         self._limiter.budget.release(self._held)
         self._limiter.connections.remove(self._entry)
+        self._limiter.turns.end_wait(self._work)
         self._body = bytearray()
         self._close_at_once()
         return True
--- a/arbutusladder/settings.py
+++ b/arbutusladder/settings.py
@@ -105,6 +105,19 @@
     """
     Limit on the memory of all requests without a response together; beyond it the slowest senders are refused. Status 503, counter unfinished_bytes.
     """
+    waiting_turns_s: (
+        Annotated[
+            float,
+            Meta(
+                description="Limit on the processor time for one turn of all requests that are being received, in seconds; beyond it those that have taken most are refused. A single one is always served. Status 503, counter processor_time.",
+                gt=0.0,
+            ),
+        ]
+        | UnsetType
+    ) = 0.1
+    """
+    Limit on the processor time for one turn of all requests that are being received, in seconds; beyond it those that have taken most are refused. A single one is always served. Status 503, counter processor_time.
+    """
     events_per_turn: (
         Annotated[
             int,
--- a/tests/test_httplimits.py
+++ b/tests/test_httplimits.py
@@ -12,6 +12,7 @@
 from arbutusladder.httplimits.departures import DepartureWatch
 from arbutusladder.httplimits.limiter import HttpLimiter, RequestLimits, load_limits
 from arbutusladder.httplimits.refusals import Limit
+from arbutusladder.httplimits.turns import TurnQueue, TurnWork
 from arbutusladder.httpserver import HttpServer
 from arbutusladder.messages import Header
 from arbutusladder.metrics import Metrics
@@ -280,6 +281,48 @@
         assert answer.startswith(b"HTTP/1.1 4")
 
 
+class TestTurns:
+    """Guards against requests in small parts that delay everything else."""
+
+    BODY = HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2000 + END
+
+    def test_heaviest_request_gives_way(self):
+        gave_way = []
+        turns = TurnQueue(1.0)
+        for name, cost_s in [("a", 0.3), ("b", 0.5), ("c", 0.1)]:
+            work = TurnWork(lambda n=name: gave_way.append(n))
+            assert turns.begin_wait(work, cost_s)
+            turns.shed_heaviest()
+        assert gave_way == []
+        last = TurnWork(lambda: gave_way.append("last"))
+        assert not turns.begin_wait(last, 0.2)
+        turns.shed_heaviest()
+        assert gave_way == ["b"]
+        turns.end_wait(last)
+        assert turns.begin_wait(last, 0.5)
+
+    def test_single_request_is_served_whatever_it_takes(self):
+        """Guards against a refusal of a request inside the limits in calm times."""
+        answer, counts = serve(
+            send_raw(self.BODY), InputLimits(waiting_turns_s=0.000001)
+        )
+        assert answer.startswith(b"HTTP/1.1 200 ")
+        assert not counts
+
+    def test_one_of_two_requests_is_refused_with_a_time_to_retry(self):
+        async def client(address):
+            tasks = [await curio.spawn(send_raw(self.BODY), address) for _ in range(2)]
+            return [await task.join() for task in tasks]
+
+        answers, counts = serve(client, InputLimits(waiting_turns_s=0.000001))
+        refused, served = sorted(answers, reverse=True)
+        assert served.startswith(b"HTTP/1.1 200 ")
+        assert refused.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After: 1" in refused
+        assert b'"outcome":"not_run"' in refused
+        assert counts["input_limits.processor_time"] == 1
+
+
 class TestSettings:
     """Guards against a file of limits that the daemon does not read."""
 
