Test pings among messages of clients that fill their queue and leave

ZeroMQ 4.3.5 ends the process by the assertion that its heartbeats reached before: the answer to a ping calls the same function.

--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -91,6 +91,9 @@
     "junk messages of clients that leave": Load(
         untrustedclients.send_junk_peer_messages, clients=20, stay_s=1.0
     ),
+    "pings among junk of clients that leave": Load(
+        untrustedclients.send_pings_among_peer_messages, clients=20, stay_s=1.0
+    ),
 }
 # Descriptors of the process in the tests of the port for other entry VMs, and how many
 # other entry VMs it may know.
--- a/tests/platform/untrustedclients.py
+++ b/tests/platform/untrustedclients.py
@@ -186,6 +186,15 @@
         await send(sock, junk)
 
 
+async def send_pings_among_peer_messages(sock):
+    """Sends messages that can't be decoded and pings, without end."""
+    await open_peer_connection(sock)
+    ping = zmtp_frame(ZMTP_COMMAND, b"\x04PING\x00\x00")
+    junk = (zmtp_frame(0, b"x") * 50 + ping) * 200
+    while True:
+        await send(sock, junk)
+
+
 def zmtp_frame(flags, body):
     """Returns a frame of ZMTP."""
     if len(body) < 256:
