--- a/arbutusladder/serverconnection.py
+++ b/arbutusladder/serverconnection.py
@@ -15,7 +15,13 @@
 from arbutusladder.httplimits.budget import HeldRequest
 from arbutusladder.httplimits.connections import OpenConnection
 from arbutusladder.httplimits.limiter import HttpLimiter, RequestLimits
-from arbutusladder.httplimits.refusals import Limit, RequestRefused, memory_shortage
+from arbutusladder.httplimits.refusals import (
+    Limit,
+    RequestRefused,
+    memory_shortage,
+    processor_shortage,
+)
+from arbutusladder.httplimits.turns import TURN_S, TurnWork
 from arbutusladder.messages import Header
 from arbutusladder.states import Outcome, Reason
 
@@ -85,15 +91,19 @@
             ),
         )
         self._held = HeldRequest(self._give_way)
+        self._work = TurnWork(self._give_way)
         self._entry = OpenConnection(peer.rpartition(":")[0], self._close_at_once)
-        limiter.connections.add(self._entry)
+        limiter.connections.add(self._entry, time.monotonic())
+        limiter.departures.add(sock.fileno(), self._close_departed)
         self._body = bytearray()
         self._head_memory = 0
         self._unprocessed = 0
         self._events = 0
+        self._turn_s = 0.0
         self._chunks = 0
         self._head_deadline: float | None = None
         self._reads_body = False
+        self._is_handled = False
         self._closed = False
 
     async def __aenter__(self) -> "ServerConnection":
@@ -105,6 +115,7 @@
     async def __aexit__(self, *error: object) -> None:
         self._limiter.budget.release(self._held)
         self._limiter.connections.remove(self._entry)
+        self._limiter.departures.remove(self._sock.fileno())
         await self._sock.close()
 
     async def read_request(self) -> HttpRequest | None:
@@ -129,6 +140,7 @@
             weight = self._head_memory + self._limiter.weigh(body)
             if not self._limiter.budget.settle(self._held, weight, time.monotonic()):
                 raise memory_shortage()
+        self._is_handled = True
         target = head.target.decode("latin-1")
         parts = urlsplit(target)
         return HttpRequest(
@@ -222,7 +234,7 @@
         body = b"" if request.method == "HEAD" else response.body
         self._limiter.budget.release(self._held)
         # A client that does not read its response may be disconnected like an idle one.
-        self._limiter.connections.set_idle(self._entry)
+        self._limiter.connections.set_idle(self._entry, time.monotonic())
         await self._send(head, h11.Data(data=body), h11.EndOfMessage())
         if self._closed or self._protocol.our_state is not h11.DONE:
             return False
@@ -294,6 +306,7 @@
         self._limits = self._limiter.request_limits
         self._head_memory = 0
         self._reads_body = False
+        self._is_handled = False
         self._unprocessed = len(self._protocol.trailing_data[0])
         if self._unprocessed:
             self._limiter.connections.set_busy(self._entry)
@@ -301,23 +314,35 @@
     async def _next_event(self) -> h11.Event | type:
         while True:
             await self._yield_turn()
+            # The time of this thread, so that a pause of the process is no work.
+            started_at = time.thread_time()
             event = self._protocol.next_event()
+            self._turn_s += time.thread_time() - started_at
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
 
     async def _yield_turn(self) -> None:
-        """Lets other connections run after a number of events of this one.
+        """Lets other connections run after some events or some work of this one.
 
         Reading from a socket that always has data doesn't wait, so without this a
         client that sends fast would delay all others.
         """
         self._events += 1
-        if self._events < self._limiter.settings.events_per_turn:
+        is_turn_over = self._events >= self._limiter.settings.events_per_turn
+        if not is_turn_over and self._turn_s < TURN_S:
             return
-        self._events = 0
+        cost_s, self._turn_s, self._events = self._turn_s, 0.0, 0
         self._charge(len(self._body) + READ_BYTES if self._reads_body else 0)
-        await curio.sleep(0)
+        self._limiter.begin_turn_wait(self._work, cost_s)
+        try:
+            await curio.sleep(0)
+        finally:
+            self._limiter.turns.end_wait(self._work)
+        if self._closed:
+            raise ConnectionResetError
+        if self._work.gave_way:
+            raise processor_shortage()
         self._check_memory()
 
     async def _receive(self) -> None:
@@ -342,6 +367,7 @@
 
     async def _receive_first(self) -> None:
         """Waits for the first bytes of a request."""
+        self._work.spent_s = 0.0
         async with curio.timeout_after(IDLE_TIMEOUT_S):
             data = await self._sock.recv(READ_BYTES)
         self._limiter.connections.set_busy(self._entry)
@@ -376,6 +402,17 @@
         self._limiter.connections.remove(self._entry)
         self._shut_down(socket.SHUT_RD)
 
+    def _close_departed(self) -> bool:
+        """Closes the connection, unless the handler has seen the request."""
+        if self._is_handled or self._closed:
+            return False
+        self._limiter.budget.release(self._held)
+        self._limiter.connections.remove(self._entry)
+        self._limiter.turns.end_wait(self._work)
+        self._body = bytearray()
+        self._close_at_once()
+        return True
+
     def _close_at_once(self) -> None:
         self._closed = True
         self._shut_down(socket.SHUT_RDWR)
