--- a/tests/cell/explore.py
+++ b/tests/cell/explore.py
@@ -16,6 +16,8 @@
   --recut         Only workers that restart and are cut off soon after.
   --hostile       Workers that restart, are cut off and carry calls out late in all ways
                   that the users' pages allow, beside faults of the owner.
+  --tickets       Steps need tickets of the advice service; with `--hostile` only.
+  --long=RANGE    Shortest and longest run of a long task in seconds [default: 8-15].
   --widened       The workers of `--hostile` in the plans of the other options.
 """
 
@@ -30,6 +32,7 @@
 from tests.cell.exploremutants import MUTANTS
 from tests.cell.exploreplan import make_plan, make_recut_plan
 from tests.cell.explorerun import play_plan
+from tests.cell.exploretickets import add_tickets
 from tests.cell.exploretrace import trace_ends_of_runs
 from tests.cell.repeatable import restart_with_fixed_hashes
 
@@ -47,6 +50,10 @@
     )
     if options["--widened"]:
         plan = replace(plan, widened=True)
+    shortest, _, longest = options["--long"].partition("-")
+    plan = replace(plan, long_run_s=(float(shortest), float(longest)))
+    if options["--tickets"]:
+        plan = add_tickets(plan)
     mutant = options["--mutant"]
     patches = MUTANTS[mutant]() if mutant else ()
     if plan.widened:
--- a/tests/cell/explorehostile.py
+++ b/tests/cell/explorehostile.py
@@ -25,6 +25,7 @@
     ExploreCell,
     NotingJournal,
 )
+from tests.cell.exploretickets import AdviceService
 from tests.cell.exploretrace import RUN_TAKEN_FOR_ENDED
 from tests.cell.exploreworkers import ExploreWorker, OrderSender
 from tests.cell.inprocess import LATENCY_S, REGISTRY_TOPIC
@@ -299,6 +300,11 @@
     def _order_sender(self, vm):
         return _OrderSender(self.process_by_vm[vm], self.worker_by_vm, self.network)
 
+    def _advisor(self, vm):
+        if self._plan.tickets:
+            return AdviceService(self.worker_by_vm)
+        return super()._advisor(vm)
+
     def _clock(self, vm):
         return WallClock(self._wall_error_by_vm[vm])
 
--- a/tests/cell/exploreplan.py
+++ b/tests/cell/exploreplan.py
@@ -15,8 +15,9 @@
 # Messages of which single types are lost.
 KINDS = ("JobsRelay", "LogCall", "MemberHello", "OwnerBeat", "ProgressRelay")
 WORKER_CORES = 8.0
-# Share of the tasks that outlast the leases of a replaced owner.
+# Share of the tasks that outlast the leases of a replaced owner, and their duration.
 LONG_SHARE = 0.15
+LONG_RUN_S = (8.0, 15.0)
 # Share of the faults at an entry VM that hit the owner.
 OWNER_SHARE = 0.7
 # Shortest and longest time in seconds that a fault is in force.
@@ -76,6 +77,8 @@
             `explorehostile`.
         max_lease_s: Longest lease in seconds that a worker accepts.
         long_share: Share of the tasks whose runs are long.
+        long_run_s: Shortest and longest of these in seconds.
+        tickets: Whether the steps need tickets, see `exploretickets`.
     """
 
     seed: int
@@ -88,6 +91,8 @@
     widened: bool = False
     max_lease_s: float = MAX_LEASE_S
     long_share: float = LONG_SHARE
+    long_run_s: tuple = LONG_RUN_S
+    tickets: bool = False
 
     @property
     def faults_end_at(self):
--- a/tests/cell/exploreworkers.py
+++ b/tests/cell/exploreworkers.py
@@ -17,6 +17,7 @@
 from arbutusladder.cell.states import EndKind, OrderOutcome
 from arbutusladder.platform.workers import ORDER_TIMEOUT_S, RENEW_TIMEOUT_S
 from tests.cell.explorerules import Done
+from tests.cell.exploretickets import is_valid
 from tests.cell.faultynetwork import NoAnswer
 from tests.cell.inprocess import LATENCY_S
 from tests.cell.pausable import FOREVER_S
@@ -25,8 +26,6 @@
 LATE_ORDER_S = (0.5, 5.0)
 # Shortest and longest run of a task.
 RUN_S = (0.2, 5.0)
-# The same for a share of the tasks, see `Plan`.
-LONG_RUN_S = (8.0, 15.0)
 FAILED_SHARE = 0.08
 POLL_S = 0.05
 # Share of restarts after which the clock is behind that of the former incarnation, and
@@ -62,7 +61,8 @@
         self.running = {}
         self.down = False
         self._seed, self._max_lease_s = plan.seed, plan.max_lease_s
-        self._long_share = plan.long_share
+        self._needs_tickets = plan.tickets
+        self._long_share, self._long_run_s = plan.long_share, plan.long_run_s
         self._checker, self._faults = checker, faults
         self._clock_offset_s = random.uniform(-100.0, 100.0)
         self._begin_incarnation()
@@ -159,6 +159,8 @@
             return self._answer(OrderOutcome.FENCED)
         if until <= self.clock():
             return self._answer(OrderOutcome.TOO_LATE)
+        if self._needs_tickets and not is_valid(order, self.born):
+            return self._answer(OrderOutcome.TICKET_INVALID)
         self._extend_lease(until)
         task, number = order.task, order.run
         if number <= self._ended_runs.get(task, 0):
@@ -172,7 +174,7 @@
         failed = draw.random() < FAILED_SHARE
         how = EndKind.FAILED if failed else EndKind.DONE
         is_long = draw.random() < self._long_share
-        length = draw.uniform(*LONG_RUN_S if is_long else RUN_S)
+        length = draw.uniform(*self._long_run_s if is_long else RUN_S)
         self.running[task, number] = _Run(now, now + length, how)
         return self._answer(OrderOutcome.ACCEPTED)
 
--- a/tests/cell/inprocess.py
+++ b/tests/cell/inprocess.py
@@ -288,6 +288,10 @@
         """Returns the way of an entry VM to the workers."""
         return self.workers
 
+    def _advisor(self, vm):
+        """Returns the way of an entry VM to the advice service."""
+        return NoAdvisor()
+
     def _journal(self, vm):
         """Returns the event log of an entry VM."""
         return Journal(vm)
@@ -300,7 +304,7 @@
         dependencies = CellDependencies(
             access,
             self._order_sender(vm),
-            NoAdvisor(),
+            self._advisor(vm),
             self._decode_worker,
             self._clock(vm),
             self._journal(vm),
