Tests that fail: runs with tickets on a restart that the owner has not heard

Callers saw tasks run on two workers at once. With tickets the task starts elsewhere 0.6 s before the lease of its first run ends; without tickets it does not.

--- a/tests/cell/test_unseenrestart.py
+++ b/tests/cell/test_unseenrestart.py
@@ -13,6 +13,7 @@
 from tests.cell.explorehostile import HostileCell
 from tests.cell.exploreplan import QUEUE, WORKER_CORES, Plan
 from tests.cell.explorerules import RuleChecker
+from tests.cell.exploretickets import add_tickets
 from tests.cell.repeatable import run_repeatably
 
 TASK = f"{workloads.job_id(1)}.0.0.0"
@@ -24,16 +25,19 @@
 class Scenario:
     """Three entry VMs, two workers and one task that outlasts the leases."""
 
-    def __init__(self, max_lease_s):
+    def __init__(self, max_lease_s, tickets=False):
         step = StepSpec(1, Resources(WORKER_CORES, 1000.0), 1.0)
-        self._job = workloads.job(1, QUEUE, step)
+        job = workloads.job(1, QUEUE, step)
         workers = tuple(entry.vm for entry in workloads.workers(2))
         plan = Plan(
-            *(1, PLAY_S, "abc", workers, {1: self._job}, [], []),
+            *(1, PLAY_S, "abc", workers, {1: job}, [], []),
             widened=True,
             max_lease_s=max_lease_s,
             long_share=1.0,
         )
+        if tickets:
+            plan = add_tickets(plan)
+        self._job = plan.jobs[1]
         self.checker = RuleChecker(plan.jobs)
         self.cell = HostileCell(plan, self.checker)
 
@@ -76,17 +80,27 @@
         """Puts a fault of a worker in force."""
         self.cell.faults.faults.append(kind(0.0, 0.0, worker=worker.name, **fields))
 
+    async def wait_for_poll(self, worker):
+        """Waits until the owner has sent a renewal, which the idle worker holds."""
+        cell = self.cell
+        state = cell.member_by_vm[cell.owner_vm].claims.owner.state
+        known = state.worker_by_vm[worker.name]
+        listed_at = known.listed_all_at
+        while known.listed_all_at == listed_at:
+            await curio.sleep(0.005)
+        await curio.sleep(0.02)
+
     @property
     def rules(self):
         """The broken rules."""
         return [rule for rule, _ in self.checker.broken]
 
 
-def play(function, max_lease_s):
+def play(function, max_lease_s, tickets=False):
     """Plays a scenario in virtual time; returns the broken rules."""
 
     async def run():
-        scenario = Scenario(max_lease_s)
+        scenario = Scenario(max_lease_s, tickets)
         await scenario.cell.start()
         async with curio.timeout_after(PLAY_S):
             await function(scenario)
@@ -109,8 +123,9 @@
 class TestUnseenRestart:
     """Pattern: a worker restarts, and is cut off before the owner has seen it."""
 
+    @pytest.mark.parametrize("tickets", [False, True])
     @pytest.mark.parametrize("only_answers", [False, True])
-    def test_lease_by_the_former_clock(self, max_lease_s, only_answers):
+    def test_lease_by_the_former_clock(self, max_lease_s, only_answers, tickets):
         """Guards against a task that starts elsewhere while its first run goes on.
 
         The next incarnation accepts the order in time and answers it. The deadline is
@@ -135,7 +150,7 @@
                 faults.WorkerCut, worker, requests=not only_answers, registry=True
             )
 
-        assert play(run, max_lease_s) == []
+        assert play(run, max_lease_s, tickets) == []
 
     def test_late_order_after_the_leases(self, max_lease_s):
         """Guards against an order in doubt that the next incarnation executes.
@@ -198,3 +213,39 @@
             await scenario.restart(worker, down_s=0.05)
 
         assert play(run, max_lease_s) == []
+
+
+@pytest.mark.parametrize("tickets", [False, True])
+class TestRestartBehindALongPoll:
+    """Pattern: idle workers are down for 0.6 s, and are cut off 2 s after their start.
+
+    The owner's renewal waits for an answer until the cut. Nothing is late.
+    """
+
+    @pytest.mark.parametrize("registered", [False, True])
+    def test_task_does_not_run_twice(self, tickets, registered):
+        """Guards against a task that moves while its first run goes on behind the cut.
+
+        The run holds a lease by the clock of the former incarnation, also if the owner
+        has read of the next one in the registry, and not heard it.
+        """
+
+        async def run(scenario):
+            first, second = scenario.cell.worker_by_vm.values()
+            scenario.inject(faults.WorkerCut, second)
+            no_entry = {"requests": False, "answers": False, "registry": True}
+            scenario.inject(faults.WorkerCut, first, **no_entry)
+            await scenario.wait_for_poll(first)
+            await scenario.restart(first, down_s=0.6)
+            cut_at = time.monotonic() + 2.0
+            await scenario.submit()
+            worker, _ = await scenario.wait_for_order()
+            assert worker is first
+            if registered:
+                scenario.cell.faults.faults.clear()
+            await scenario.wait_until(cut_at)
+            scenario.cell.faults.faults.clear()
+            scenario.inject(faults.WorkerCut, first, registry=not registered)
+
+        with mock.patch.object(explorehostile, "REGISTER_S", 0.0):
+            assert play(run, 6.0, tickets) == []
