Count leases of runs with tickets as of those without

Cause: Worker.calls_end_at exempted runs with tickets from the wait for leases of an incarnation that the owner has not heard, since a ticket is valid on one incarnation only. But the advice service answers by ids, so after a restart that the owner has not seen it gives tickets of the next incarnation. That one accepts the order, with a deadline by the former clock, and holds the longest lease. The owner counted its own grants, 0.6 s less and more, and moved the task.

Why it works: a run ends with the leases only if the present incarnation has listed it, or accepted it by its own clock; otherwise 12 s after the newest call and the longest lease besides, whatever its order carried.

TestTicket.test_run_ends_with_its_leases asserted that a run whose order got no answer ends with its leases if it has a ticket, which the orders of events above show to be wrong. Three cases replace it: such a run, and one that was accepted by another clock, is awaited to the end of the calls; one that was accepted by the present clock ends with its leases. Run.has_ticket is not needed any more.

pytest tests/cell: no failure.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -597,7 +597,6 @@
             team=stage.job.team,
             charge=stage.spec.need,
             urgent=is_urgent(stage),
-            has_ticket=needs_advice(stage),
         )
         task = stage.tasks[index]
         task.runs.append(run)
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -58,7 +58,6 @@
         pace_sent_at: Monotonic time in seconds of the last order for a pace.
         tail_learnt_at: Monotonic time in seconds at which its tail of response times
             was last used to learn what disturbs it.
-        has_ticket: Whether its orders carry tickets, valid on one incarnation only.
         measured: Whether its duration was used to learn the speed of its worker.
     """
 
@@ -94,7 +93,6 @@
     pace: int | None = 100
     pace_sent_at: float = -math.inf
     tail_learnt_at: float = -math.inf
-    has_ticket: bool = False
     measured: bool = False
 
     @property
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -351,7 +351,8 @@
         incarnation. An order without an answer may be executed by an incarnation that
         has begun since, known or not. Such an incarnation may also have accepted an
         order, and any call that was sent for the former clock may give it the longest
-        lease.
+        lease. A ticket does not show which incarnation accepts its order: it may have
+        been given after a restart that nobody has seen.
 
         Args:
             run: A run on this worker.
@@ -360,14 +361,11 @@
         Returns:
             Monotonic time in seconds; -inf if the leases alone decide.
         """
-        latest_end_s = latest_order_end_s(max_lease_s)
-        if run.has_ticket:
-            return -math.inf
         if not run.in_doubt and run.confirmed_born:
             is_of_former_incarnation = run.confirmed_born != self.born
             if is_of_former_incarnation or not self._restarted:
                 return -math.inf
-        return self._called_at + latest_end_s
+        return self._called_at + latest_order_end_s(max_lease_s)
 
     def assume_lease(self, expires_at: float) -> None:
         """Records that a previous owner may have granted a lease.
--- a/tests/cell/test_endsofdoubts.py
+++ b/tests/cell/test_endsofdoubts.py
@@ -4,12 +4,18 @@
 from types import SimpleNamespace
 
 import curio
+import pytest
 
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import EndedTask, OrderAnswer, WorkerReport
 from arbutusladder.cell.leaserenewer import HELD_ENDS_DELAY_S, LeaseRenewer
 from arbutusladder.cell.states import EndKind, OrderOutcome
-from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, longest_lease_s
+from arbutusladder.cell.workers import (
+    MAX_ORDER_DELAY_S,
+    latest_order_end_s,
+    longest_lease_s,
+)
+from arbutusladder.cell.workerselection import needs_advice
 from arbutusladder.clock import Clock
 from arbutusladder.journal import Journal
 from arbutusladder.metrics import Metrics
@@ -19,6 +25,9 @@
 from tests.virtualtime import run_in_virtual_time
 
 LEASE_S = 5.0
+# Answers by the clock of the incarnation that has reported, and by another one.
+PRESENT_CLOCK = OrderAnswer(OrderOutcome.ACCEPTED, 0.4)
+OTHER_CLOCK = OrderAnswer(OrderOutcome.ACCEPTED, 90.0)
 
 
 class TestPastDoubt:
@@ -73,18 +82,37 @@
 
 
 class TestTicket:
-    """Pattern: an order with a ticket got no answer, and its worker falls silent.
+    """Pattern: a worker falls silent, to which an order with a ticket was sent.
 
-    The ticket is valid on the incarnation that the owner knows, whose leases it counts.
+    The ticket may be of an incarnation that nobody has heard, and whose leases are by
+    the clock of the former one.
     """
 
-    def test_run_ends_with_its_leases(self):
-        """Guards against tasks with tickets that wait 18 s after a plain crash."""
+    def silent_cell(self, answer):
+        """Returns a cell whose worker is silent after the answer to the order."""
         cell = RestartingWorker()
-        cell.task.runs[0].has_ticket = True
+        terms = cell.stage.job.record.queue
+        cell.stage.job.record.queue = dataclasses.replace(terms, advice_s=0.01)
+        assert needs_advice(cell.stage)
         cell.worker.grant_lease(NOW, LEASE_S)
-        cell.answer(NO_ANSWER, NOW + 0.4)
+        cell.answer(answer, NOW + 0.4)
         cell.worker.record_missed_renewal(NOW + 0.5)
+        return cell
+
+    @pytest.mark.parametrize("answer", [NO_ANSWER, OTHER_CLOCK])
+    def test_unconfirmed_run_is_awaited(self, answer):
+        """Guards against a task that starts elsewhere before its run has ended."""
+        cell = self.silent_cell(answer)
+        ends_at = NOW + latest_order_end_s(cell.state.max_lease_s)
+        for now in (NOW + longest_lease_s(LEASE_S) + 0.1, ends_at - 0.1):
+            cell.state.expire_leases(now)
+            assert not cell.task.is_waiting
+        cell.state.expire_leases(ends_at + 0.1)
+        assert cell.task.is_waiting
+
+    def test_confirmed_run_ends_with_its_leases(self):
+        """Guards against tasks with tickets that wait 18 s after a plain crash."""
+        cell = self.silent_cell(PRESENT_CLOCK)
         cell.state.expire_leases(NOW + longest_lease_s(LEASE_S) + 0.1)
         assert cell.task.is_waiting
 
