Soak: tickets of the advice service, recuts of a failure domain

Every queue of the users' sites asks the advice service, and no queue of the soak did. Workers wrote their entry in the moment of their restart, so owners saw each restart soon.

Workers reject other orders (409, ticket), which extend no lease; a repeat for a run that is there is accepted. The fault zone_recut restarts all workers of a failure domain and cuts them off, 2 s after the restart or each at another moment. Half of the restarts show in the registry only with the next heartbeat. Long tasks may be longer (--longest).

Each play uses loopback addresses of its own, so that plays side by side do not take ports of each other.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import os
 import random
 import socket
 import struct
@@ -21,6 +22,16 @@
 REPEATED_APPENDS = 5
 
 
+def loopback_ip(number):
+    """Returns a loopback address that processes of other tests hardly use.
+
+    Args:
+        number: Number of the address, from 1 to 254.
+    """
+    process = os.getpid()
+    return f"127.{64 + process // 256 % 128}.{process % 256}.{number}"
+
+
 def free_port(ip):
     """Returns a free TCP port of an address."""
     with socket.socket() as probe:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,10 +2,10 @@
 
 Usage:
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
-           [--jobs=J] [--long=W] [--no-teams]
+           [--jobs=J] [--long=W] [--longest=S] [--no-teams] [--tickets]
   soak plan SEED [--seconds=S] [--no-teams]
   soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--jobs=J] [--long=W]
-           [--no-teams]
+           [--longest=S] [--no-teams] [--tickets]
 
 Options:
   --seeds=RANGE  Seeds, such as 1-50 [default: 1-1].
@@ -15,8 +15,10 @@
   --jobs=J       Jobs a second [default: 6].
   --long=W       Weight of the jobs with long tasks; those of others sum up to 15
                  [default: 2].
+  --longest=S    Longest of the long tasks [default: 16].
   --logs=PATH    Directory that keeps the logs of the processes; none by default.
   --no-teams     Configuration without teams, and no faults that concern them.
+  --tickets      Queues whose orders need tickets of the advice service.
 
 A seed decides the plan of faults, which `plan` prints as YAML and `play` plays again,
 also after edits. The timing of the processes differs from run to run. Run it as
@@ -48,7 +50,8 @@
 from arbutusladder.errors import HttpError
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.messages import CellClaim, Header
-from tests.platform.fakes import FakeStore, free_port
+from tests.platform.fakes import FakeStore, free_port, loopback_ip
+from tests.platform.soakadvice import ADVICE, SoakAdvice
 from tests.platform.soakteams import (
     APPLY_MS,
     FLOOD_FACTOR,
@@ -66,6 +69,7 @@
     FINAL_STATES,
     SERVICE,
     WAYS,
+    ZONES,
     RuleChecker,
     SoakWorker,
     keep_current,
@@ -95,7 +99,8 @@
 FINISH_S = 14.0
 # Longest task for which that bound is meant; longer ones take as much longer to end.
 LONGEST_USUAL_TASK_S = 4.0
-# Work of a task in seconds and tasks of each step, by kind of job.
+# Work of a task in seconds, of long ones the least, and tasks of each step, by kind
+# of job.
 KINDS = {
     "quote": (0.8, [2]),
     "audit": (1.5, [3, 2]),
@@ -109,6 +114,8 @@
 # with late calls.
 RECUT_DOWN_S, RECUT_PAUSE_S, QUICK_PAUSE_S = 0.6, (2.0, 2.0), (0.0, 0.6)
 RECUT_LATE_S = 1.0
+# The same times to the cut for recuts of a failure domain.
+ZONE_PAUSES_S = RECUT_PAUSE_S, (0.0, 2.0)
 # Longest time from an end of an entry VM to the next one of the process under its name.
 SECOND_KILL_S = 3.0
 
@@ -159,6 +166,7 @@
     "recut": (7.0, 9.0, 2),
     "recut_in_time": (7.0, 9.0, 1),
     "quick_recut": (3.0, 9.0, 1),
+    "zone_recut": (7.0, 9.0, 1),
     "recut_with": (7.0, 9.0, 2),
     "cut_crash": (2.0, 9.0, 1),
     "one_way": (0.5, 8.0, 2),
@@ -209,18 +217,19 @@
     Args:
         number: Its number.
         store: Address of the store.
+        advice: Address of the advice service; empty for none.
         directory: Directory for its settings and its log.
 
     Attributes:
         store_route: Its own relay to the store.
     """
 
-    def __init__(self, number, store, directory):
+    def __init__(self, number, store, advice, directory):
         self.name = f"edge-{number}"
         self.busy = False
         self._log = directory / f"{self.name}.log"
         self._settings = directory / f"{self.name}.json"
-        ip = f"127.0.0.{10 + number}"
+        ip = loopback_ip(10 + number)
         addresses = (f"{ip}:{free_port(ip)}" for _ in range(4))
         self.front, self.ready, peer, relay = addresses
         self.store_route = Route(relay, store)
@@ -231,6 +240,7 @@
             "listen": {"front": self.front, "ready": self.ready},
             "port-range": [int(peer.rpartition(":")[2])] * 2,
             "platform": {"address": relay, "form": "log"},
+            "advice": advice,
             "bounds": {
                 "max-hold-ms": 6000,
                 "grace-s": GRACE_S,
@@ -275,25 +285,37 @@
         directory: Directory for settings and logs.
         arrivals_per_s: Jobs a second.
         teams: Teams of the configuration by name; none by default.
+        tickets: Whether orders need tickets of the advice service.
 
     Attributes:
         checker: What was checked, and what broke.
         jobs: All jobs by id, as their callers know them.
         weights: Weights of the kinds of jobs.
+        longest_s: Longest of the long tasks in seconds.
     """
 
     def __init__(
-        self, plan, entries, workers, directory, arrivals_per_s=ARRIVALS_PER_S, teams=()
+        self,
+        plan,
+        entries,
+        workers,
+        directory,
+        arrivals_per_s=ARRIVALS_PER_S,
+        teams=(),
+        tickets=False,
     ):
         self.checker = RuleChecker()
         self.jobs: dict[str, SoakJob] = {}
         self.weights = dict(WEIGHTS)
+        self.longest_s, _ = KINDS["long"]
         self._plan = plan
         self._store = FakeStore()
-        self._teams = SoakTeams(self._store, self.checker, dict(teams))
+        advice = ADVICE if tickets else None
+        self._teams = SoakTeams(self._store, self.checker, dict(teams), advice)
         self.checker.highest_cap = self._teams.highest_cap
         self._pool = HttpConnectionPool(Clock())
-        self._kind_by_job: dict[str, str] = {}
+        self._tickets = tickets
+        self._shape_by_job: dict[str, tuple[float, list[int]]] = {}
         self._accepted: set[str] = set()
         self._job_numbers = itertools.count(1)
         self._directory = directory
@@ -302,9 +324,17 @@
         self._entries: list[EntryProcess] = []
         self._server_tasks: list[curio.Task] = []
         self.checker.workers = [
-            SoakWorker(f"i-{number:04}", self._store, self.checker, self._task_s)
+            SoakWorker(
+                f"i-{number:04}",
+                self._store,
+                self.checker,
+                self._task_s,
+                number % ZONES,
+            )
             for number in range(workers)
         ]
+        for worker in self.checker.workers:
+            worker.needs_tickets = tickets
 
     def play(self):
         """Plays the plan; afterwards the checker tells what broke."""
@@ -343,7 +373,8 @@
             self._server_tasks.append(await curio.spawn(worker.route.run, daemon=True))
             await curio.spawn(worker.run, daemon=True)
         for number in range(self._entry_count):
-            entry = EntryProcess(number, self._store.address, self._directory)
+            advice = await self._start_advice() if self._tickets else ""
+            entry = EntryProcess(number, self._store.address, advice, self._directory)
             relay = await curio.spawn(entry.store_route.run, daemon=True)
             self._server_tasks.append(relay)
             entry.start()
@@ -357,6 +388,12 @@
                     await curio.sleep(0.1)
         await curio.sleep(2.0)
 
+    async def _start_advice(self):
+        """Returns the address of an advice service for one entry VM."""
+        server = SoakAdvice(self.checker.workers).server
+        self._server_tasks.append(await curio.spawn(server.run, daemon=True))
+        return server.address
+
     async def _inject(self, fault):
         self.checker.faults.append(fault.kind)
         await getattr(self, f"inject_{fault.kind}")(fault)
@@ -376,7 +413,7 @@
         return next(entry for entry in self._entries if entry.name == holder)
 
     def _task_s(self, task):
-        return KINDS[self._kind_by_job[task.partition(".")[0]]][0]
+        return self._shape_by_job[task.partition(".")[0]][0]
 
     async def _send_jobs(self, factor=1.0, team=None, kinds=tuple(KINDS)):
         weights = [self.weights[kind] for kind in kinds]
@@ -384,16 +421,18 @@
             (kind,) = random.choices(kinds, weights)
             job = f"{random.getrandbits(32):08x}{next(self._job_numbers):08x}"
             task_s, counts = KINDS[kind]
+            if kind == "long":
+                task_s = random.uniform(task_s, self.longest_s)
             caller = self._teams.new_job(kind == "quote", task_s * len(counts), team)
             self.jobs[job] = caller
-            self._kind_by_job[job] = kind
+            self._shape_by_job[job] = task_s, counts
             self.checker.steps_by_job[job] = counts
             self.checker.team_by_job[job] = caller.team
-            await curio.spawn(self._live, job, kind, daemon=True)
+            await curio.spawn(self._live, job, daemon=True)
             await curio.sleep(random.expovariate(self._arrivals_per_s * factor))
 
-    async def _live(self, job, kind):
-        task_s, counts = KINDS[kind]
+    async def _live(self, job):
+        task_s, counts = self._shape_by_job[job]
         steps = [
             {"count": count, "cpu": 1000, "mem-mb": 64, "estimate-ms": task_s * 1000}
             | ({"after": [number - 1]} if number else {})
@@ -485,7 +524,7 @@
         while open_jobs:
             for job in list(open_jobs):
                 # A task that has just begun when the last fault ends takes its time.
-                task_s, _ = KINDS[self._kind_by_job[job]]
+                task_s, _ = self._shape_by_job[job]
                 overdue_s = time.monotonic() - began_at - finish_s
                 if await self._read_state(job) in FINAL_STATES:
                     open_jobs.discard(job)
@@ -504,7 +543,7 @@
         for job in self._accepted:
             state, _ = self.checker.shown_by_job.get(job, ("", 0.0))
             if state not in FINAL_STATES:
-                task_s, counts = KINDS[self._kind_by_job[job]]
+                task_s, counts = self._shape_by_job[job]
                 work_s_by_team[self.jobs[job].team] += task_s * sum(counts)
         cores = CORES * len(self.checker.workers)
         return self._teams.backlog_s(work_s_by_team, cores)
@@ -701,10 +740,20 @@
         """Cuts each of them off at another moment after its first calls."""
         await self._recut(fault, QUICK_PAUSE_S, is_late=False)
 
-    async def _recut(self, fault, pause_s, is_late):
+    async def inject_zone_recut(self, fault):
+        """Does the same to all workers of a failure domain.
+
+        The target chooses it, and whether each is cut off at another moment.
+        """
+        pause_s = ZONE_PAUSES_S[fault.target // ZONES % len(ZONE_PAUSES_S)]
+        await self._recut(fault, pause_s, is_late=False, zone=fault.target % ZONES)
+
+    async def _recut(self, fault, pause_s, is_late, zone=None):
         async with curio.TaskGroup() as group:
             for number, worker in enumerate(self.checker.workers):
-                if (number + fault.target) % 2:
+                is_in_half = zone is None and (number + fault.target) % 2
+                is_in_zone = zone is not None and worker.zone == zone
+                if is_in_half or is_in_zone:
                     seconds = fault.seconds, random.uniform(*pause_s)
                     await group.spawn(self._recut_worker, worker, *seconds, is_late)
 
@@ -862,12 +911,15 @@
     teams: dict,
     jobs_per_s: float,
     long_weight: float,
+    longest_s: float,
+    tickets: bool,
 ) -> int:
     """Plays a plan and prints what broke; returns the number of broken rules."""
     directory = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     directory.mkdir(parents=True, exist_ok=True)
-    run = SoakRun(plan, entries, workers, directory, jobs_per_s, teams)
+    run = SoakRun(plan, entries, workers, directory, jobs_per_s, teams, tickets)
     run.weights["long"] = long_weight
+    run.longest_s = longest_s
     try:
         run.play()
         print_traces(run.checker, directory)
@@ -912,7 +964,8 @@
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
-    load = float(options["--jobs"]), float(options["--long"])
+    load = [float(options[name]) for name in ("--jobs", "--long", "--longest")]
+    load.append(options["--tickets"])
     if options["play"]:
         rows = yaml.safe_load(Path(options["FILE"]).read_text(encoding="utf-8"))
         plan = [Fault(**row) for row in rows]
--- a/tests/platform/soakteams.py
+++ b/tests/platform/soakteams.py
@@ -86,16 +86,19 @@
         store: Store that holds the configuration.
         checker: Checks that are told what broke.
         teams: Teams by name; without any, the configuration has no teams.
+        advice: Times of the advice service as in the configuration; None if no queue
+            uses it.
 
     Attributes:
         versions: All stored versions, in order.
     """
 
-    def __init__(self, store, checker, teams):
+    def __init__(self, store, checker, teams, advice=None):
         self.versions: list[ConfigVersion] = []
         self._store = store
         self._checker = checker
         self._teams = teams
+        self._advice = advice
         self._hosts: list[str] = []
         self._cap_by_team = {name: team.cap for name, team in teams.items()}
         self._keys_by_team = {name: [f"{name}-0"] for name in teams}
@@ -128,6 +131,7 @@
                     "stretch": STRETCH,
                     "priority": priority if self._teams else 0,
                     "public": path == PUBLIC[0],
+                    "advice": self._advice,
                 }
                 for host in self._hosts
                 for path, priority in names
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -4,6 +4,7 @@
 import json
 import math
 import random
+import secrets
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -17,6 +18,7 @@
     FakeExecutor,
     free_port,
     json_answer,
+    loopback_ip,
 )
 from tests.platform.soaktrace import Call, SoakTrace
 from tests.relay import Route
@@ -38,14 +40,18 @@
 SHARES = {"late": 0.4, "unanswered": 0.4, "refused": 0.4}
 # What may be lost in one direction only.
 WAYS = ("calls", "answers", "heartbeats")
-# Address of the relays, which no outgoing connection takes a port of.
-ROUTE_IP = "127.0.1.1"
+# Number of the address of the relays, which no outgoing connection takes a port of.
+ROUTE_IP_NUMBER = 1
 # Heartbeats without which an entry is removed.
 MISSED_HEARTBEATS = 3
 # Share of restarts after which the clock is behind that of the former incarnation, and
 # the shortest and longest difference.
 CLOCK_BEHIND_SHARE = 0.75
 CLOCK_STEP_S = (5.0, 100.0)
+# Share of restarts after which the entry is written with the next heartbeat.
+LATE_ENTRY_SHARE = 0.5
+# Failure domains that the workers are spread over.
+ZONES = 4
 # Seconds between two looks whether a worker that is down has started again.
 RESTART_POLL_S = 0.02
 # Seconds after an acknowledged cancellation until which its tasks may start.
@@ -247,6 +253,7 @@
         store: The store in which it registers.
         checker: Checks of its starts.
         task_s: Returns the duration of a task in seconds.
+        zone: Number of its failure domain.
 
     Attributes:
         route: Relay through which its calls arrive.
@@ -254,24 +261,42 @@
         silent: Whether it is cut off from the store and the entry VMs.
         failing_share: Share of runs that end as failed.
         loses_heartbeats: Whether its entry is not renewed.
+        needs_tickets: Whether orders to start a run need a ticket.
     """
 
-    def __init__(self, name, store, checker, task_s):
+    def __init__(self, name, store, checker, task_s, zone=0):
         super().__init__(name)
+        self.zone = zone
+        self.needs_tickets = False
         self.down = self.silent = False
         self.loses_heartbeats = False
         self.failing_share = 0.0
-        self.route = Route(f"{ROUTE_IP}:{free_port(ROUTE_IP)}", self.server.address)
+        ip = loopback_ip(ROUTE_IP_NUMBER)
+        self.route = Route(f"{ip}:{free_port(ip)}", self.server.address)
         self._store = store
         self._checker = checker
         self._task_s = task_s
         self._clock_offset_ms = 0.0
         self._ends_at_by_fault: dict[str, float] = {}
+        self._step_by_ticket: dict[str, tuple[str, float]] = {}
 
     def registry_entry(self, service, cores=8, state="ready"):
         """Returns its entry in the registry, with the address of its relay."""
         entry = super().registry_entry(service, cores, state)
-        return entry | {"address": self.route.address}
+        return entry | {"address": self.route.address, "zone": f"z{self.zone}"}
+
+    def permit(self, step, validity_s):
+        """Returns a ticket of the present incarnation for the tasks of a step."""
+        ticket = secrets.token_hex(8)
+        self._step_by_ticket[ticket] = step, time.monotonic() + validity_s
+        return ticket
+
+    def accepts_ticket(self, task, ticket):
+        """Returns whether a ticket permits the start of a task."""
+        if not self.needs_tickets:
+            return True
+        step, valid_until = self._step_by_ticket.get(ticket, ("", 0.0))
+        return task.rpartition(".")[0] == step and time.monotonic() < valid_until
 
     def running_tasks(self):
         """Returns the tasks that run on it."""
@@ -344,12 +369,14 @@
         self.fence, self.lease_end_ms = 0, None
         self.ended, self.ended_runs = [], {}
         self._end_numbers = itertools.count(1)
+        self._step_by_ticket.clear()
         step_ms = random.uniform(*CLOCK_STEP_S) * 1000
         is_behind = random.random() < CLOCK_BEHIND_SHARE
         self._clock_offset_ms += -step_ms if is_behind else step_ms
         self.down = False
         self._note(f"starts as {self.born}, clock {self.clock_ms() / 1000:.2f}")
-        if not (self.silent or self.loses_heartbeats or self._store.unresponsive):
+        is_lost = self.silent or self.loses_heartbeats or self._store.unresponsive
+        if not is_lost and random.random() > LATE_ENTRY_SHARE:
             self.register()
 
     def _note(self, text):
@@ -414,6 +441,9 @@
         accepted = body["deadline-ms"] > self.clock_ms()
         is_old = number <= self.ended_runs.get(task, 0)
         if accepted and not is_old and (task, number) not in self.running:
+            if not self.accepts_ticket(task, body.get("ticket", "")):
+                answer = {"reason": "ticket", "clock-ms": self.clock_ms()}
+                return json_answer(409, answer)
             late, ordered_at = self._is_late_order, self._ordered_at
             self._checker.check_start(self, task, number, late, ordered_at)
         self.task_s = self._task_s(task)
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -15,10 +15,12 @@
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeRun, FakeStore, FakeTopic
 from tests.platform.soak import FAULTS, RECUT_FAULTS, Fault, SoakRun, make_plan
+from tests.platform.soakadvice import ADVICE, MAX_WAITING, SoakAdvice
 from tests.platform.soakworkers import (
     CANCEL_S,
     CORES,
     MAX_ATTEMPTS,
+    ZONES,
     RuleChecker,
     RunEnd,
     SoakWorker,
@@ -420,6 +422,132 @@
         assert "runs [1]" in rows[1] and "200, answered" in rows[2]
 
 
+class TestTickets:
+    """Starts on workers that need tickets, and the service that hands them out."""
+
+    STEP = FIRST.rpartition(".")[0]
+
+    @pytest.fixture
+    def worker(self):
+        """A worker that needs tickets."""
+        worker = make_workers()[1][0]
+        worker.needs_tickets = True
+        return worker
+
+    def start(self, worker, ticket, task=FIRST):
+        """Returns status and reason of the answer to an order with a ticket."""
+        fields = start_fields(worker) | {"task": task, "ticket": ticket}
+        return curio.run(lambda: send(worker, "run-start", **fields))
+
+    def test_ticket_is_valid_for_all_tasks_of_a_step(self, worker):
+        """Guards against checks that always fail."""
+        worker._checker.steps_by_job[JOB] = [2]
+        ticket = worker.permit(self.STEP, 1.0)
+        for task in (FIRST, f"{self.STEP}.1"):
+            assert self.start(worker, ticket, task) == (200, "")
+        assert worker._checker.starts == 2
+
+    @pytest.mark.parametrize("kind", ["none", "other step", "other worker", "expired"])
+    def test_rejected_ticket(self, worker, kind):
+        """Guards against starts without permission, and leases that they extend."""
+        match kind:
+            case "none":
+                ticket = ""
+            case "other step":
+                ticket = worker.permit(SECOND.rpartition(".")[0], 1.0)
+            case "other worker":
+                ticket = worker._checker.workers[1].permit(self.STEP, 1.0)
+            case "expired":
+                ticket = worker.permit(self.STEP, 0.0)
+        assert self.start(worker, ticket) == (409, "ticket")
+        assert not worker.running and not worker._checker.starts
+        assert worker.lease_end_ms is None
+
+    def test_ticket_ends_with_the_incarnation(self, worker):
+        """Guards against orders for a former incarnation that start a run."""
+        ticket = worker.permit(self.STEP, 1.0)
+        worker.crash()
+        worker.restart()
+        assert self.start(worker, ticket) == (409, "ticket")
+        assert self.start(worker, worker.permit(self.STEP, 1.0)) == (200, "")
+
+    def test_repeat_of_an_accepted_order(self, worker):
+        """Guards against a repeat that is rejected since its ticket has expired."""
+        ticket = worker.permit(self.STEP, 1.0)
+        assert self.start(worker, ticket) == (200, "")
+        worker._step_by_ticket.clear()
+        assert self.start(worker, ticket) == (200, "")
+
+    def advise(self, advice, workers, step=STEP):
+        """Returns a call of the service about workers, with its status and reply."""
+
+        async def call():
+            fields = {"step": step, "workers": [worker.name for worker in workers]}
+            body = json.dumps(fields).encode()
+            request = HttpRequest("POST", "/v1/advise", "", {}, [], body)
+            answer = await advice.handle(request)
+            return answer.status, json.loads(answer.body)
+
+        return call
+
+    def test_permitted_workers_do_not_change(self, worker):
+        """Guards against a policy that permits all or no workers, or changes."""
+        _, workers = make_workers(9)
+        calls = [self.advise(SoakAdvice(workers), workers[1:]) for _ in range(2)]
+        replies = [curio.run(call)[1] for call in calls]
+        first, second = ([name for name, _ in reply["good"]] for reply in replies)
+        assert first == second and len(first) in {5, 6}
+        assert set(first) < {worker.name for worker in workers[1:]}
+        assert replies[0]["validity-ms"] == ADVICE["validity-ms"]
+
+    def test_ticket_is_one_of_the_time_of_the_reply(self, worker, monkeypatch):
+        """Guards against tickets of the incarnation that was up at the call."""
+        monkeypatch.setitem(ADVICE, "decision-ms", 50)
+        worker.needs_tickets = True
+        call = self.advise(SoakAdvice([worker] * 2), [worker])
+
+        async def play():
+            task = await curio.spawn(call)
+            await curio.sleep(0.02)
+            worker.crash()
+            worker.restart()
+            return await task.join()
+
+        _, reply = curio.run(play)
+        assert self.start(worker, reply["good"][0][1]) == (200, "")
+
+    def test_one_call_at_a_time(self, monkeypatch):
+        """Guards against calls of one entry VM that are served together."""
+        monkeypatch.setitem(ADVICE, "decision-ms", 50)
+        _, workers = make_workers(3)
+        call = self.advise(SoakAdvice(workers), workers)
+
+        async def play():
+            began_at = time.monotonic()
+            tasks = [await curio.spawn(call) for _ in range(3)]
+            return [
+                ((await task.join())[0], time.monotonic() - began_at) for task in tasks
+            ]
+
+        rows = curio.run(play)
+        each_s = (50 + 3 * ADVICE["each-ms"]) / 1000
+        assert [status for status, _ in rows] == [200] * 3
+        assert all(at >= n * each_s for n, (_, at) in enumerate(rows, 1))
+
+    def test_too_many_calls_wait(self, monkeypatch):
+        """Guards against a queue of calls without a bound."""
+        monkeypatch.setitem(ADVICE, "decision-ms", 10_000)
+        call = self.advise(SoakAdvice([]), [])
+
+        async def play():
+            for _ in range(1 + MAX_WAITING):
+                await curio.spawn(call, daemon=True)
+            await curio.sleep(0.02)
+            return await curio.timeout_after(1.0, call)
+
+        assert curio.run(play)[0] == 429
+
+
 class TestClaims:
     """Claims as the store holds them after a run."""
 
@@ -557,6 +685,21 @@
         assert curio.run(play) == ([200, 421], [421, 200])
         assert [worker.route.address for worker in workers] == addresses[::-1]
 
+    @pytest.mark.parametrize("target", [1, 1 + ZONES])
+    def test_recut_of_a_failure_domain(self, tmp_path, monkeypatch, target):
+        """Guards against recuts of workers in several failure domains, or of a part."""
+        monkeypatch.setattr("tests.platform.soak.RECUT_LATE_S", 0.0)
+        monkeypatch.setattr("tests.platform.soak.RECUT_DOWN_S", 0.0)
+        monkeypatch.setattr("tests.platform.soak.ZONE_PAUSES_S", ((0.0, 0.0),) * 2)
+        soak = SoakRun([], 0, 2 * ZONES, tmp_path)
+        curio.run(soak.inject_zone_recut, Fault(0.0, "", target, 0.05))
+        rows = soak.checker.trace.states
+        texts = {(name, text.split()[0]) for _, name, text in rows}
+        names = [soak.checker.workers[number].name for number in (1, 1 + ZONES)]
+        words = ("crashes", "starts", "is")
+        assert texts == {(name, word) for name in names for word in words}
+        assert not any(worker.silent for worker in soak.checker.workers)
+
     def test_crash_behind_a_cut(self, soak):
         """Guards against a worker that is seen to restart, or does not restart."""
         (worker,) = soak.checker.workers
