Soak: gangs, and a count of orders to restarts that nobody has seen

Jobs whose tasks are a gang (--gangs) begin to work once all members of a run are present, end together, and end as broken or alone otherwise.

A play prints how many starts were executed by an incarnation that had answered no report before; without them a play says nothing about runs on unseen restarts.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import math
 import os
 import random
 import socket
@@ -220,10 +221,14 @@
 
 @dataclass
 class FakeRun:
-    """A run of a task; its times are in seconds of the test's monotonic clock."""
+    """A run of a task; its times are in seconds of the test's monotonic clock.
+
+    A member of a gang ends at ``alone_at`` if others are missing then.
+    """
 
     started_at: float
     ends_at: float
+    alone_at: float = math.inf
 
     def percent(self):
         """Returns the completed percentage of its work."""
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,10 +2,10 @@
 
 Usage:
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
-           [--jobs=J] [--long=W] [--longest=S] [--no-teams] [--tickets]
+           [--jobs=J] [--long=W] [--longest=S] [--gangs=W] [--no-teams] [--tickets]
   soak plan SEED [--seconds=S] [--no-teams]
   soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--jobs=J] [--long=W]
-           [--longest=S] [--no-teams] [--tickets]
+           [--longest=S] [--gangs=W] [--no-teams] [--tickets]
 
 Options:
   --seeds=RANGE  Seeds, such as 1-50 [default: 1-1].
@@ -16,6 +16,7 @@
   --long=W       Weight of the jobs with long tasks; those of others sum up to 15
                  [default: 2].
   --longest=S    Longest of the long tasks [default: 16].
+  --gangs=W      Weight of the jobs whose tasks are a gang [default: 0].
   --logs=PATH    Directory that keeps the logs of the processes; none by default.
   --no-teams     Configuration without teams, and no faults that concern them.
   --tickets      Queues whose orders need tickets of the advice service.
@@ -106,9 +107,10 @@
     "audit": (1.5, [3, 2]),
     "batch": (4.0, [3]),
     "long": (16.0, [2]),
+    "gang": (6.0, [3]),
 }
 # Weights of the kinds, so that the workers have room for all of them.
-WEIGHTS = {"quote": 12, "audit": 2, "batch": 1, "long": 2}
+WEIGHTS = {"quote": 12, "audit": 2, "batch": 1, "long": 2, "gang": 0}
 # Seconds for which workers are down, shortest and longest time from their restart to
 # the cut, for the quick recut too, and seconds before the crash and after the restart
 # with late calls.
@@ -427,6 +429,8 @@
             self.jobs[job] = caller
             self._shape_by_job[job] = task_s, counts
             self.checker.steps_by_job[job] = counts
+            if kind == "gang":
+                (self.checker.gangs.size_by_job[job],) = counts
             self.checker.team_by_job[job] = caller.team
             await curio.spawn(self._live, job, daemon=True)
             await curio.sleep(random.expovariate(self._arrivals_per_s * factor))
@@ -436,6 +440,7 @@
         steps = [
             {"count": count, "cpu": 1000, "mem-mb": 64, "estimate-ms": task_s * 1000}
             | ({"after": [number - 1]} if number else {})
+            | ({"gang": True} if job in self.checker.gangs.size_by_job else {})
             for number, count in enumerate(counts)
         ]
         body, statuses = {"spec": "text", "steps": steps}, self.jobs[job].statuses
@@ -912,13 +917,14 @@
     jobs_per_s: float,
     long_weight: float,
     longest_s: float,
+    gang_weight: float,
     tickets: bool,
 ) -> int:
     """Plays a plan and prints what broke; returns the number of broken rules."""
     directory = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     run = SoakRun(plan, entries, workers, directory, jobs_per_s, teams, tickets)
-    run.weights["long"] = long_weight
+    run.weights |= {"long": long_weight, "gang": gang_weight}
     run.longest_s = longest_s
     try:
         run.play()
@@ -932,7 +938,9 @@
     states = Counter(state for state, _ in checker.shown_by_job.values())
     rules = Counter(line.partition(":")[0] for line in checker.broken)
     print(
-        f"{checker.starts} starts, {len(checker.broken)} broken rules {dict(rules)}; "
+        f"{checker.starts} starts, {checker.trace.count_unheard_starts()} by workers "
+        f"that had answered no report, {len(checker.broken)} broken rules "
+        f"{dict(rules)}; "
         f"jobs shown as {dict(states)}; this process was "
         f"{checker.longest_delay_s():.3f} s late"
     )
@@ -964,8 +972,8 @@
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
-    load = [float(options[name]) for name in ("--jobs", "--long", "--longest")]
-    load.append(options["--tickets"])
+    names = "--jobs", "--long", "--longest", "--gangs"
+    load = [*(float(options[name]) for name in names), options["--tickets"]]
     if options["play"]:
         rows = yaml.safe_load(Path(options["FILE"]).read_text(encoding="utf-8"))
         plan = [Fault(**row) for row in rows]
--- a/tests/platform/soaktrace.py
+++ b/tests/platform/soaktrace.py
@@ -124,6 +124,17 @@
             f"  {format_time(at)} {name} {text}" for at, name, text in rows[-MAX_LINES:]
         ]
 
+    def count_unheard_starts(self) -> int:
+        """Returns how many orders were executed by lives without an answered report."""
+        heard, count = set(), 0
+        for call in self.calls:
+            life = call.worker, call.born
+            if call.kind == "hold" and call.answered_at:
+                heard.add(life)
+            elif call.kind == "run-start" and call.status == "200":
+                count += life not in heard
+        return count
+
     def _spans(self, task):
         """Returns first and last time of interest by worker."""
         spans = {}
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -20,6 +20,7 @@
     json_answer,
     loopback_ip,
 )
+from tests.platform.soakgangs import SoakGangs
 from tests.platform.soaktrace import Call, SoakTrace
 from tests.relay import Route
 
@@ -102,6 +103,7 @@
         highest_cap: Returns the highest cap of a team, in tasks, that may be in force
             for an order that arrives at a monotonic time.
         trace: What the workers did.
+        gangs: Gangs of the submitted jobs.
     """
 
     workers: list["SoakWorker"] = field(default_factory=list)
@@ -120,6 +122,7 @@
     team_by_job: dict[str, str] = field(default_factory=dict)
     highest_cap: Callable[[str, float], float] = lambda team, ordered_at: math.inf
     trace: SoakTrace = field(default_factory=SoakTrace)
+    gangs: SoakGangs = field(default_factory=SoakGangs)
 
     def check_start(
         self,
@@ -138,7 +141,7 @@
             other.advance()
             if task in other.running_tasks() and not other.down:
                 self.breaks("TWICE", f"{place} while it runs on {other.name}")
-        if any(done.acknowledged for done in self.done_by_task.get(task, ())):
+        if any(done.acknowledged for done in self._done_ends(task)):
             self.breaks("TWICE", f"{place} after an acknowledged end as done")
         self._check_attempts(task)
         if len(worker.running) >= CORES:
@@ -149,7 +152,7 @@
             return
         for index in range(counts[name.step - 1] if name.step else 0):
             earlier = f"{name.job_id}.{name.occurrence}.{name.step - 1}.{index}"
-            if earlier not in self.done_by_task:
+            if not self._done_ends(earlier):
                 self.breaks("ORDER", f"{place} before {earlier} was done")
         self._check_cap(place, name.job_id, ordered_at)
         if not late:
@@ -190,7 +193,7 @@
             for step, count in enumerate(self.steps_by_job[job])
             for index in range(count)
         ]
-        is_done = all(task in self.done_by_task for task in tasks)
+        is_done = all(self._done_ends(task) for task in tasks)
         if state == "completed" and not is_done:
             self.breaks("MIXED", f"{job} is shown as completed and is not done")
         has_failed = any(
@@ -209,9 +212,15 @@
         if end.failed:
             self._check_attempts(task)
             return
-        for started_at in self.started_at_by_task[task]:
-            if started_at > end.ended_at:
-                self.breaks("TWICE", f"{task} started after an end as done")
+        for member in self.gangs.members(task):
+            for started_at in self.started_at_by_task.get(member, ()):
+                if started_at > end.ended_at:
+                    self.breaks("TWICE", f"{member} started after an end as done")
+
+    def _done_ends(self, task):
+        """Returns the ends as done of a task; those of a gang count for all members."""
+        members = self.gangs.members(task)
+        return [end for name in members for end in self.done_by_task.get(name, ())]
 
     def _check_attempts(self, task):
         ends = self.failed_by_task.get(task, ())
@@ -359,12 +368,12 @@
         """Ends its incarnation; nothing is left of it."""
         self.advance()
         self.down = True
-        self.running.clear()
+        self._drop_runs()
         self._note(f"crashes as {self.born}")
 
     def restart(self):
         """Begins a new incarnation under the same id."""
-        self.running.clear()
+        self._drop_runs()
         self.born = max(int(time.time() * 1000), self.born + 1)
         self.fence, self.lease_end_ms = 0, None
         self.ended, self.ended_runs = [], {}
@@ -379,6 +388,12 @@
         if not is_lost and random.random() > LATE_ENTRY_SHARE:
             self.register()
 
+    def _drop_runs(self):
+        lost = list(self.running)
+        self.running.clear()
+        for key in lost:
+            self._checker.gangs.leave(key, "")
+
     def _note(self, text):
         self._checker.trace.states.append((time.time(), self.name, text))
 
@@ -446,8 +461,12 @@
                 return json_answer(409, answer)
             late, ordered_at = self._is_late_order, self._ordered_at
             self._checker.check_start(self, task, number, late, ordered_at)
+        else:
+            return await super()._start(body)
         self.task_s = self._task_s(task)
-        return await super()._start(body)
+        answer = await super()._start(body)
+        self._checker.gangs.join(self, (task, number), self.task_s)
+        return answer
 
     async def _renew_lease(self, body):
         for row in self.ended:
@@ -469,10 +488,11 @@
             lapses_at -= (clock - self.lease_end_ms) / 1000 / self.clock_rate
         for key, run in list(self.running.items()):
             if run.ends_at <= lapses_at:
-                has_failed = random.random() < self.failing_share
-                self._end_run(key, "failed" if has_failed else "done")
+                self.end_run(key, "failed" if self._has_failed(key) else "done")
             elif lapsed:
-                self._end_run(key, "lapsed")
+                self.end_run(key, "lapsed")
+            elif run.alone_at <= now:
+                self.end_run(key, "alone")
         if lapsed:
             self.lease_end_ms = None
             ends = [self._checker.done_by_task, self._checker.failed_by_task]
@@ -480,18 +500,28 @@
                 if end.worker is self and not end.acknowledged:
                     end.lapsed = True
 
+    def _has_failed(self, key):
+        """Draws whether a run has failed; gangs always end as done."""
+        is_gang = len(self._checker.gangs.members(key[0])) > 1
+        return not is_gang and random.random() < self.failing_share
+
+    def end_run(self, key, end_kind):
+        """Ends a run, unless the end of another member of its gang has ended it."""
+        if key in self.running:
+            self._end_run(key, end_kind)
+
     def _end_run(self, key, end_kind):
         task, ends_at = key[0], self.running[key].ends_at
         super()._end_run(key, end_kind)
-        row = time.time(), self.name, *key, f"{end_kind} as end {self.ended[-1][0]}"
-        self._checker.trace.ends.append(row)
-        if end_kind not in {"done", "failed"}:
-            return
-        end = RunEnd(self, self.born, self.ended[-1][0], ends_at)
-        end.failed = end_kind == "failed"
-        checker = self._checker
-        by_task = checker.failed_by_task if end.failed else checker.done_by_task
-        by_task.setdefault(task, []).append(end)
+        checker, number = self._checker, self.ended[-1][0]
+        row = time.time(), self.name, *key, f"{end_kind} as end {number}"
+        checker.trace.ends.append(row)
+        if end_kind in {"done", "failed"}:
+            end = RunEnd(self, self.born, number, ends_at)
+            end.failed = end_kind == "failed"
+            by_task = checker.failed_by_task if end.failed else checker.done_by_task
+            by_task.setdefault(task, []).append(end)
+        checker.gangs.leave(key, end_kind)
 
 
 async def keep_current(checker):
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -420,6 +420,11 @@
         assert line.startswith(f"TWICE: {FIRST}")
         assert kinds == [["i-1", "run-start"], ["i-1", "hold"], ["i-0", "run-start"]]
         assert "runs [1]" in rows[1] and "200, answered" in rows[2]
+        assert worker._checker.trace.count_unheard_starts() == 2
+        curio.run(lambda: send(other, "hold", fence=2))
+        fields = start_fields(other, 3, fence=2)
+        curio.run(lambda: send(other, "run-start", **fields))
+        assert worker._checker.trace.count_unheard_starts() == 2
 
 
 class TestTickets:
@@ -548,6 +553,79 @@
         assert curio.run(play)[0] == 429
 
 
+class TestGangs:
+    """Members of a gang of two on two workers."""
+
+    OTHER = f"{JOB}.0.0.1"
+
+    @pytest.fixture
+    def workers(self, monkeypatch):
+        """Two workers, and a job that is one gang whose work takes 50 ms."""
+        monkeypatch.setattr("tests.platform.soakgangs.GANG_WAIT_S", 0.05)
+        checker, workers = make_workers()
+        checker.steps_by_job[JOB] = [2]
+        checker.gangs.size_by_job[JOB] = 2
+        for worker in workers:
+            worker._task_s = lambda task: 0.05
+        return workers
+
+    def play(self, workers, *numbers, change=lambda: None):
+        """Starts the members with these run numbers; returns how they have ended."""
+
+        async def play():
+            members = (FIRST, self.OTHER)
+            for worker, task, number in zip(workers, members, numbers, strict=False):
+                fields = start_fields(worker, number) | {"task": task}
+                assert await send(worker, "run-start", **fields) == (200, "")
+            await curio.sleep(0.02)
+            change()
+            await curio.sleep(0.05)
+            for worker in workers:
+                worker.advance()
+
+        curio.run(play)
+        return [[row[3] for row in worker.ended] for worker in workers]
+
+    def test_members_end_together(self, workers):
+        """Guards against members that work without the others."""
+        assert self.play(workers, 1, 1) == [["done"], ["done"]]
+
+    @pytest.mark.parametrize("numbers", [(1,), (1, 2)])
+    def test_member_without_the_others(self, workers, numbers):
+        """Guards against members that work with those of another run, or wait on."""
+        expected = [["alone"] * (len(numbers) > n) for n in range(2)]
+        assert self.play(workers, *numbers) == expected
+
+    def test_member_that_is_stopped(self, workers):
+        """Guards against members that work on after one has ended."""
+        stop = {"task": FIRST, "run": 1}
+        ends = self.play(workers, 1, 1, change=lambda: workers[0]._stop(stop))
+        assert ends == [["stopped"], ["broken"]]
+
+    def test_member_whose_worker_crashes(self, workers):
+        """Guards against members that work on after a crash of another worker."""
+        assert self.play(workers, 1, 1, change=workers[0].crash) == [[], ["broken"]]
+
+    def test_end_of_one_member_counts_for_all(self, workers):
+        """Guards against missing a start after an end that another member reported."""
+        self.play(workers, 1, 1)
+        checker = workers[0]._checker
+        del checker.done_by_task[FIRST]
+        checker.show(JOB, "completed")
+        checker.acknowledge(self.OTHER, checker.done_by_task[self.OTHER][0])
+        checker.check_start(workers[0], FIRST, 2, False)
+        assert rules(checker) == ["TWICE"]
+
+    def test_earlier_start_of_another_member(self, workers):
+        """Guards against missing a start between an end and its acknowledgement."""
+        self.play(workers, 1, 1)
+        checker = workers[0]._checker
+        end = checker.done_by_task[self.OTHER][0]
+        checker.started_at_by_task[FIRST].append(end.ended_at + 1.0)
+        checker.acknowledge(self.OTHER, end)
+        assert rules(checker) == ["TWICE"]
+
+
 class TestClaims:
     """Claims as the store holds them after a run."""
 
