--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -2,10 +2,11 @@
 
 Usage:
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
-           [--jobs=J] [--long=W] [--longest=S] [--gangs=W] [--no-teams] [--tickets]
+           [--jobs=J] [--long=W] [--longest=S] [--wide=W] [--gangs=W] [--no-teams]
+           [--tickets]
   soak plan SEED [--seconds=S] [--no-teams]
   soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--jobs=J] [--long=W]
-           [--longest=S] [--gangs=W] [--no-teams] [--tickets]
+           [--longest=S] [--wide=W] [--gangs=W] [--no-teams] [--tickets]
 
 Options:
   --seeds=RANGE  Seeds, such as 1-50 [default: 1-1].
@@ -16,6 +17,7 @@
   --long=W       Weight of the jobs with long tasks; those of others sum up to 15
                  [default: 2].
   --longest=S    Longest of the long tasks [default: 16].
+  --wide=W       Weight of the jobs with a task that needs a whole worker [default: 0].
   --gangs=W      Weight of the jobs whose tasks are a gang [default: 0].
   --logs=PATH    Directory that keeps the logs of the processes; none by default.
   --no-teams     Configuration without teams, and no faults that concern them.
@@ -100,17 +102,18 @@
 FINISH_S = 14.0
 # Longest task for which that bound is meant; longer ones take as much longer to end.
 LONGEST_USUAL_TASK_S = 4.0
-# Work of a task in seconds, of long ones the least, and tasks of each step, by kind
-# of job.
+# Work of a task in seconds, of long ones the least, tasks of each step and cores of a
+# task, by kind of job.
 KINDS = {
-    "quote": (0.8, [2]),
-    "audit": (1.5, [3, 2]),
-    "batch": (4.0, [3]),
-    "long": (16.0, [2]),
-    "gang": (6.0, [3]),
+    "quote": (0.8, [2], 1),
+    "audit": (1.5, [3, 2], 1),
+    "batch": (4.0, [3], 1),
+    "long": (16.0, [2], 1),
+    "wide": (10.0, [1], CORES),
+    "gang": (6.0, [3], 1),
 }
 # Weights of the kinds, so that the workers have room for all of them.
-WEIGHTS = {"quote": 12, "audit": 2, "batch": 1, "long": 2, "gang": 0}
+WEIGHTS = {"quote": 12, "audit": 2, "batch": 1, "long": 2, "wide": 0, "gang": 0}
 # Seconds for which workers are down, shortest and longest time from their restart to
 # the cut, for the quick recut too, and seconds before the crash and after the restart
 # with late calls.
@@ -309,7 +312,7 @@
         self.checker = RuleChecker()
         self.jobs: dict[str, SoakJob] = {}
         self.weights = dict(WEIGHTS)
-        self.longest_s, _ = KINDS["long"]
+        self.longest_s, *_ = KINDS["long"]
         self._plan = plan
         self._store = FakeStore()
         advice = ADVICE if tickets else None
@@ -317,7 +320,7 @@
         self.checker.highest_cap = self._teams.highest_cap
         self._pool = HttpConnectionPool(Clock())
         self._tickets = tickets
-        self._shape_by_job: dict[str, tuple[float, list[int]]] = {}
+        self._shape_by_job: dict[str, tuple[float, list[int], int]] = {}
         self._accepted: set[str] = set()
         self._job_numbers = itertools.count(1)
         self._directory = directory
@@ -422,13 +425,14 @@
         while True:
             (kind,) = random.choices(kinds, weights)
             job = f"{random.getrandbits(32):08x}{next(self._job_numbers):08x}"
-            task_s, counts = KINDS[kind]
+            task_s, counts, cores = KINDS[kind]
             if kind == "long":
                 task_s = random.uniform(task_s, self.longest_s)
             caller = self._teams.new_job(kind == "quote", task_s * len(counts), team)
             self.jobs[job] = caller
-            self._shape_by_job[job] = task_s, counts
+            self._shape_by_job[job] = task_s, counts, cores
             self.checker.steps_by_job[job] = counts
+            self.checker.cores_by_job[job] = cores
             if kind == "gang":
                 (self.checker.gangs.size_by_job[job],) = counts
             self.checker.team_by_job[job] = caller.team
@@ -436,9 +440,11 @@
             await curio.sleep(random.expovariate(self._arrivals_per_s * factor))
 
     async def _live(self, job):
-        task_s, counts = self._shape_by_job[job]
+        task_s, counts, cores = self._shape_by_job[job]
+        task = {"cpu": cores * 1000, "mem-mb": 64, "estimate-ms": task_s * 1000}
         steps = [
-            {"count": count, "cpu": 1000, "mem-mb": 64, "estimate-ms": task_s * 1000}
+            task
+            | {"count": count}
             | ({"after": [number - 1]} if number else {})
             | ({"gang": True} if job in self.checker.gangs.size_by_job else {})
             for number, count in enumerate(counts)
@@ -529,7 +535,7 @@
         while open_jobs:
             for job in list(open_jobs):
                 # A task that has just begun when the last fault ends takes its time.
-                task_s, _ = self._shape_by_job[job]
+                task_s, *_ = self._shape_by_job[job]
                 overdue_s = time.monotonic() - began_at - finish_s
                 if await self._read_state(job) in FINAL_STATES:
                     open_jobs.discard(job)
@@ -548,8 +554,9 @@
         for job in self._accepted:
             state, _ = self.checker.shown_by_job.get(job, ("", 0.0))
             if state not in FINAL_STATES:
-                task_s, counts = self._shape_by_job[job]
-                work_s_by_team[self.jobs[job].team] += task_s * sum(counts)
+                task_s, counts, cores = self._shape_by_job[job]
+                work_s = task_s * sum(counts) * cores
+                work_s_by_team[self.jobs[job].team] += work_s
         cores = CORES * len(self.checker.workers)
         return self._teams.backlog_s(work_s_by_team, cores)
 
@@ -917,6 +924,7 @@
     jobs_per_s: float,
     long_weight: float,
     longest_s: float,
+    wide_weight: float,
     gang_weight: float,
     tickets: bool,
 ) -> int:
@@ -924,7 +932,7 @@
     directory = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     run = SoakRun(plan, entries, workers, directory, jobs_per_s, teams, tickets)
-    run.weights |= {"long": long_weight, "gang": gang_weight}
+    run.weights |= {"long": long_weight, "wide": wide_weight, "gang": gang_weight}
     run.longest_s = longest_s
     try:
         run.play()
@@ -972,7 +980,7 @@
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
-    names = "--jobs", "--long", "--longest", "--gangs"
+    names = "--jobs", "--long", "--longest", "--wide", "--gangs"
     load = [*(float(options[name]) for name in names), options["--tickets"]]
     if options["play"]:
         rows = yaml.safe_load(Path(options["FILE"]).read_text(encoding="utf-8"))
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -91,6 +91,7 @@
     Attributes:
         workers: All workers.
         steps_by_job: Number of tasks of each step of the submitted jobs.
+        cores_by_job: Cores that a task needs, of jobs whose tasks need several.
         cancelled_at_by_job: Monotonic time of acknowledged cancellations in seconds.
         cancel_requested: Jobs whose cancellation was sent.
         shown_by_job: First final state in which a client was shown a job, and the time.
@@ -108,6 +109,7 @@
 
     workers: list["SoakWorker"] = field(default_factory=list)
     steps_by_job: dict[str, list[int]] = field(default_factory=dict)
+    cores_by_job: dict[str, int] = field(default_factory=dict)
     cancelled_at_by_job: dict[str, float] = field(default_factory=dict)
     cancel_requested: set[str] = field(default_factory=set)
     shown_by_job: dict[str, tuple[str, float]] = field(default_factory=dict)
@@ -144,8 +146,8 @@
         if any(done.acknowledged for done in self._done_ends(task)):
             self.breaks("TWICE", f"{place} after an acknowledged end as done")
         self._check_attempts(task)
-        if len(worker.running) >= CORES:
-            self.breaks("LIMIT", f"{place}: all cores are in use")
+        if sum(self._cores(key[0]) for key in [(task,), *worker.running]) > CORES:
+            self.breaks("LIMIT", f"{place}: its cores are in use")
         counts = self.steps_by_job.get(name.job_id) if name else None
         if counts is None:
             self.breaks("UNASKED", f"{place}: no client has sent the job")
@@ -154,20 +156,27 @@
             earlier = f"{name.job_id}.{name.occurrence}.{name.step - 1}.{index}"
             if not self._done_ends(earlier):
                 self.breaks("ORDER", f"{place} before {earlier} was done")
-        self._check_cap(place, name.job_id, ordered_at)
+        self._check_cap(place, task, ordered_at)
         if not late:
             self._check_late_start(place, name.job_id)
 
-    def _check_cap(self, place, job, ordered_at):
-        """Checks what the team runs, with the run that begins; tasks need a core."""
-        team = self.team_by_job.get(job)
+    def _cores(self, task):
+        return self.cores_by_job.get(task.partition(".")[0], 1)
+
+    def _check_cap(self, place, task, ordered_at):
+        """Checks what the team runs, with the run that begins."""
+        team = self.team_by_job.get(task.partition(".")[0])
         if not team:
             return
-        names = [parse_task_name(task) for w in self.workers for task, _ in w.running]
-        count = 1 + sum(self.team_by_job.get(name.job_id) == team for name in names)
+        running = [task for w in self.workers for task, _ in w.running]
+        count = self._cores(task) + sum(
+            self._cores(other)
+            for other in running
+            if self.team_by_job.get(other.partition(".")[0]) == team
+        )
         cap = self.highest_cap(team, ordered_at)
         if count > cap:
-            self.breaks("CAP", f"{place}: {team} runs {count} tasks, its cap is {cap}")
+            self.breaks("CAP", f"{place}: {team} uses {count} cores, its cap is {cap}")
 
     def _check_late_start(self, place, job):
         now = time.monotonic()
--- a/tests/platform/test_soakteams.py
+++ b/tests/platform/test_soakteams.py
@@ -117,6 +117,16 @@
         checker.check_start(worker, FIRST, 1, late)
         assert rules(checker) == broken
 
+    @pytest.mark.parametrize(("cap", "broken"), [(5, ["CAP"]), (6, [])])
+    def test_cores_of_tasks_count(self, cap, broken):
+        """Guards against tasks of several cores that count as one."""
+        checker, (worker, other) = make_workers()
+        checker.team_by_job[JOB], checker.cores_by_job[JOB] = "red", 3
+        checker.highest_cap = lambda team, ordered_at: cap
+        run(other, f"{JOB}.0.0.1")
+        checker.check_start(worker, FIRST, 1, False)
+        assert rules(checker) == broken
+
     def test_highest_cap_that_may_be_in_force(self, teams):
         """Guards against caps that count too long, or too short after a change."""
         now = time.monotonic()
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -131,6 +131,16 @@
         checker.check_start(worker, FIRST, 1, False)
         assert rules(checker) == ["LIMIT"]
 
+    @pytest.mark.parametrize(("cores", "running"), [(CORES, 0), (CORES, 1), (1, 0)])
+    def test_task_of_several_cores(self, cores, running):
+        """Guards against missing a worker without room for a large task."""
+        checker, (worker, _) = make_workers()
+        checker.cores_by_job[JOB] = cores
+        for number in range(running):
+            run(worker, f"task-{number}")
+        checker.check_start(worker, FIRST, 1, False)
+        assert rules(checker) == ["LIMIT"] * running
+
     def test_order_of_steps(self):
         """Guards against missing a step that starts too early."""
         checker, (worker, _) = make_workers()
