Soak: plans and a short run with tickets

Seeds draw recuts of a failure domain as a series of their own, so that plans of known seeds stay the same.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -4,7 +4,7 @@
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
            [--jobs=J] [--long=W] [--longest=S] [--wide=W] [--gangs=W] [--no-teams]
            [--tickets]
-  soak plan SEED [--seconds=S] [--no-teams]
+  soak plan SEED [--seconds=S] [--no-teams] [--tickets]
   soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--jobs=J] [--long=W]
            [--longest=S] [--wide=W] [--gangs=W] [--no-teams] [--tickets]
 
@@ -21,7 +21,8 @@
   --gangs=W      Weight of the jobs whose tasks are a gang [default: 0].
   --logs=PATH    Directory that keeps the logs of the processes; none by default.
   --no-teams     Configuration without teams, and no faults that concern them.
-  --tickets      Queues whose orders need tickets of the advice service.
+  --tickets      Queues whose orders need tickets of the advice service, and recuts of
+                 whole failure domains.
 
 A seed decides the plan of faults, which `plan` prints as YAML and `play` plays again,
 also after edits. The timing of the processes differs from run to run. Run it as
@@ -171,7 +172,6 @@
     "recut": (7.0, 9.0, 2),
     "recut_in_time": (7.0, 9.0, 1),
     "quick_recut": (3.0, 9.0, 1),
-    "zone_recut": (7.0, 9.0, 1),
     "recut_with": (7.0, 9.0, 2),
     "cut_crash": (2.0, 9.0, 1),
     "one_way": (0.5, 8.0, 2),
@@ -188,19 +188,28 @@
     "new_caps": (3.0, 8.0, 2),
     "flood": (2.0, 6.0, 2),
 }
+# The same for faults of a failure domain, which come with tickets.
+ZONE_FAULTS = {"zone_recut": (7.0, 9.0, 1)}
 # Shortest and longest time in seconds between two faults of a series.
 FAULT_INTERVAL_S, TEAM_FAULT_INTERVAL_S = (0.2, 2.5), (1.0, 4.0)
+ZONE_FAULT_INTERVAL_S = (3.0, 14.0)
 
 
-def make_plan(seed: int, seconds: float, teams: bool = False) -> list[Fault]:
+def make_plan(
+    seed: int, seconds: float, teams: bool = False, tickets: bool = False
+) -> list[Fault]:
     """Returns the faults of a seed; they come in series and overlap.
 
-    What concerns teams is a series of its own, so that the other one stays the same.
+    What concerns teams, or comes with tickets, is a series of its own, so that the
+    first one stays the same.
     """
     plan = _draw_series(random.Random(seed), seconds, FAULTS, FAULT_INTERVAL_S)
     if teams:
         draw = random.Random(f"teams {seed}")
         plan += _draw_series(draw, seconds, TEAM_FAULTS, TEAM_FAULT_INTERVAL_S)
+    if tickets:
+        draw = random.Random(f"tickets {seed}")
+        plan += _draw_series(draw, seconds, ZONE_FAULTS, ZONE_FAULT_INTERVAL_S)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -922,17 +931,15 @@
     logs: str | None,
     teams: dict,
     jobs_per_s: float,
-    long_weight: float,
+    weights: dict[str, float],
     longest_s: float,
-    wide_weight: float,
-    gang_weight: float,
     tickets: bool,
 ) -> int:
     """Plays a plan and prints what broke; returns the number of broken rules."""
     directory = Path(logs or tempfile.mkdtemp(prefix="soak-"))
     directory.mkdir(parents=True, exist_ok=True)
     run = SoakRun(plan, entries, workers, directory, jobs_per_s, teams, tickets)
-    run.weights |= {"long": long_weight, "wide": wide_weight, "gang": gang_weight}
+    run.weights |= weights
     run.longest_s = longest_s
     try:
         run.play()
@@ -976,12 +983,19 @@
     seconds = float(options["--seconds"])
     teams = {} if options["--no-teams"] else TEAMS
     if options["plan"]:
-        plan = make_plan(int(options["SEED"]), seconds, bool(teams))
+        plan = make_plan(
+            int(options["SEED"]), seconds, bool(teams), options["--tickets"]
+        )
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
-    names = "--jobs", "--long", "--longest", "--wide", "--gangs"
-    load = [*(float(options[name]) for name in names), options["--tickets"]]
+    weights = {
+        "long": float(options["--long"]),
+        "wide": float(options["--wide"]),
+        "gang": float(options["--gangs"]),
+    }
+    longest_s, tickets = float(options["--longest"]), options["--tickets"]
+    load = float(options["--jobs"]), weights, longest_s, tickets
     if options["play"]:
         rows = yaml.safe_load(Path(options["FILE"]).read_text(encoding="utf-8"))
         plan = [Fault(**row) for row in rows]
@@ -991,7 +1005,7 @@
     for seed in range(int(first), int(last or first) + 1):
         print(f"seed {seed}: ", end="", flush=True)
         logs = options["--logs"]
-        plan = make_plan(seed, seconds, bool(teams))
+        plan = make_plan(seed, seconds, bool(teams), options["--tickets"])
         if play(plan, *sizes, logs and f"{logs}/{seed}", teams, *load):
             failed.append(seed)
     print(f"failed seeds: {failed}")
--- a/tests/platform/soakteams.py
+++ b/tests/platform/soakteams.py
@@ -186,7 +186,7 @@
         ]
 
     def highest_cap(self, team, ordered_at):
-        """Returns the highest cap that may be in force for an order, in tasks."""
+        """Returns the highest cap that may be in force for an order, in cores."""
         versions = self.versions_between(ordered_at - APPLY_MS / 1000, math.inf)
         return max(version.cap_by_team.get(team, 0) for version in versions)
 
--- a/tests/platform/soakworkers.py
+++ b/tests/platform/soakworkers.py
@@ -101,7 +101,7 @@
         calm_since: Monotonic time of the end of the last fault.
         delays: Times by which this process was late, each with its monotonic time.
         team_by_job: Teams of the submitted jobs; empty for jobs without one.
-        highest_cap: Returns the highest cap of a team, in tasks, that may be in force
+        highest_cap: Returns the highest cap of a team, in cores, that may be in force
             for an order that arrives at a monotonic time.
         trace: What the workers did.
         gangs: Gangs of the submitted jobs.
@@ -464,14 +464,13 @@
         task, number = body["task"], body["run"]
         accepted = body["deadline-ms"] > self.clock_ms()
         is_old = number <= self.ended_runs.get(task, 0)
-        if accepted and not is_old and (task, number) not in self.running:
-            if not self.accepts_ticket(task, body.get("ticket", "")):
-                answer = {"reason": "ticket", "clock-ms": self.clock_ms()}
-                return json_answer(409, answer)
-            late, ordered_at = self._is_late_order, self._ordered_at
-            self._checker.check_start(self, task, number, late, ordered_at)
-        else:
+        if not accepted or is_old or (task, number) in self.running:
             return await super()._start(body)
+        if not self.accepts_ticket(task, body.get("ticket", "")):
+            answer = {"reason": "ticket", "clock-ms": self.clock_ms()}
+            return json_answer(409, answer)
+        late, ordered_at = self._is_late_order, self._ordered_at
+        self._checker.check_start(self, task, number, late, ordered_at)
         self.task_s = self._task_s(task)
         answer = await super()._start(body)
         self._checker.gangs.join(self, (task, number), self.task_s)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -4,6 +4,7 @@
 
 from tests.platform.soak import Fault, SoakRun, make_plan
 from tests.platform.soakteams import TEAMS
+from tests.platform.soakworkers import ZONES
 
 # Few jobs, so that a busy machine can still finish them in time.
 ARRIVALS_PER_S = 4.0
@@ -80,6 +81,22 @@
         assert run.checker.starts > 0
         assert run.checker.broken == []
 
+    def test_no_rule_is_broken_with_tickets(self, tmp_path):
+        """Guards against a run elsewhere beside one of a restart that nobody has seen.
+
+        Whole workers restart behind long polls, with tickets of the next incarnation.
+        """
+        plan = [
+            Fault(at, "zone_recut", zone, 7.0)
+            for at in (2.0, 12.0)
+            for zone in (ZONES, ZONES + 1)
+        ]
+        run = SoakRun(plan, ENTRIES + 1, 32, tmp_path, 2.0, tickets=True)
+        run.weights |= {"long": 0, "wide": 45, "gang": 2}
+        run.play()
+        assert run.checker.starts > 0
+        assert run.checker.broken == []
+
     def test_no_rule_about_teams_is_broken(self, tmp_path):
         """Guards against removed keys that are accepted and caps that are exceeded."""
         plan = make_plan(2, 12.0, teams=True)
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -3,10 +3,12 @@
 import json
 import signal
 import time
+from pathlib import Path
 from types import SimpleNamespace
 
 import curio
 import pytest
+import yaml
 
 from arbutusladder.cell.claims import OWNER_TOPIC, claim_item
 from arbutusladder.clock import Clock
@@ -14,7 +16,14 @@
 from arbutusladder.httpserver import HttpRequest
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeRun, FakeStore, FakeTopic
-from tests.platform.soak import FAULTS, RECUT_FAULTS, Fault, SoakRun, make_plan
+from tests.platform.soak import (
+    FAULTS,
+    RECUT_FAULTS,
+    ZONE_FAULTS,
+    Fault,
+    SoakRun,
+    make_plan,
+)
 from tests.platform.soakadvice import ADVICE, MAX_WAITING, SoakAdvice
 from tests.platform.soakworkers import (
     CANCEL_S,
@@ -29,6 +38,7 @@
 
 JOB = "00000000000000aa"
 FIRST, SECOND = f"{JOB}.0.0.0", f"{JOB}.0.1.0"
+PLANS = Path(__file__).parent / "plans"
 
 
 # Entry VMs that each fault of the ways to the store concerns.
@@ -846,7 +856,20 @@
         """Guards against a failed seed that cannot be played again."""
         assert make_plan(3, 30.0) == make_plan(3, 30.0) != make_plan(4, 30.0)
 
+    def test_tickets_add_a_series(self):
+        """Guards against plans of known seeds that change, or lack what is added."""
+        plan, with_tickets = make_plan(3, 30.0), make_plan(3, 30.0, tickets=True)
+        added = [fault for fault in with_tickets if fault not in plan]
+        assert {fault.kind for fault in added} == set(ZONE_FAULTS)
+        assert [fault for fault in with_tickets if fault in plan] == plan
+
+    @pytest.mark.parametrize("path", sorted(PLANS.glob("*.yaml")), ids=lambda p: p.name)
+    def test_plan_file(self, path):
+        """Guards against plans in files that cannot be played."""
+        plan = [Fault(**row) for row in yaml.safe_load(path.read_text())]
+        assert plan and all(hasattr(SoakRun, f"inject_{row.kind}") for row in plan)
+
     def test_each_kind_has_a_method(self):
         """Guards against a plan that ends with an unknown fault."""
-        kinds = [*FAULTS, *RECUT_FAULTS]
+        kinds = [*FAULTS, *RECUT_FAULTS, *ZONE_FAULTS]
         assert all(hasattr(SoakRun, f"inject_{kind}") for kind in kinds)
