--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -21,6 +21,8 @@
 LATE_APPEND_S = (1.0, 6.0)
 # Newest appends of a producer whose repeats get their first responses again.
 REPEATED_APPENDS = 5
+# Addresses that may not have been bound yet.
+_given_addresses: set[tuple[str, int]] = set()
 
 
 def loopback_ip(number):
@@ -34,10 +36,14 @@
 
 
 def free_port(ip):
-    """Returns a free TCP port of an address."""
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """Returns a free TCP port of an address, each one once."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((ip, 0))
+            address = probe.getsockname()
+        if address not in _given_addresses:
+            _given_addresses.add(address)
+            return address[1]
 
 
 def json_answer(status, body=None):
