--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 
 from arbutusladder import events
@@ -25,13 +25,21 @@
 from arbutusladder.cell.pendingchanges import PendingChanges
 from arbutusladder.cell.performance.tracker import PerformanceTracker
 from arbutusladder.cell.reports import ReportProcessor
+from arbutusladder.cell.runends import (
+    MAX_NAMED,
+    EndEvidence,
+    EndProof,
+    RunEnd,
+    order_evidence,
+    restart_fields,
+)
 from arbutusladder.cell.runs import Run, RunKey
 from arbutusladder.cell.stages import Stage, stage_key
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.steppriority import is_urgent
 from arbutusladder.cell.tasknames import job_id_of_task, parse_task_name
 from arbutusladder.cell.teamusage.ledger import TeamLedger
-from arbutusladder.cell.unreported import UnreportedWorkers
+from arbutusladder.cell.unreported import UnreportedWorker, UnreportedWorkers
 from arbutusladder.cell.unsettledruns import UnsettledRuns
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, longest_lease_s
 from arbutusladder.cell.workerselection import needs_advice
@@ -120,6 +128,7 @@
         self.interference = InterferenceTracker(self.record_event)
         self.performance = PerformanceTracker(self.record_event, self.interference)
         self._token_number_by_vm: dict[VmId, int] = {}
+        self._unlogged_ends: list[tuple[Run, RunEnd]] = []
         self._report_processor = ReportProcessor(self)
 
     def add_job(
@@ -250,8 +259,10 @@
         is_complete = self._report_processor.apply(worker, report, sent_at, now)
         # The worker has seen this owner's epoch, so it obeys no previous one.
         worker.limit_inherited_leases(now + self._inherited_lease_s(worker, now))
-        if is_complete and self.unreported.remove(vm):
+        listed_all = EndEvidence(EndProof.LISTED_ALL, now, now - sent_at)
+        if is_complete and self._stop_awaiting(vm, listed_all):
             self._stop_partial_gangs()
+        self._record_restarts()
         return worker.last_end_number
 
     def _inherited_lease_s(self, worker: Worker, now: float) -> float:
@@ -321,7 +332,8 @@
         if run.phase is RunPhase.UNSETTLED:
             run.changed_at = now
             if not (run.in_doubt or is_accepted):
-                self._settle(run)
+                self._settle(run, order_evidence(run, answer.outcome, now))
+                self._record_restarts()
             return
         if is_accepted and worker.is_own_clock(answer.clock, now):
             run.confirmed_born = worker.born
@@ -355,6 +367,7 @@
             worker=run.vm,
             outcome=answer.outcome.value,
         )
+        self._record_restarts()
         if stage and stage.spec.gang:
             self.stop_runs(stage)
 
@@ -382,7 +395,8 @@
         if worker is None:
             return
         if answer.outcome is OrderOutcome.WORKER_REPLACED:
-            self._remove_worker(worker, "replaced", now)
+            sent_at = run.stop_sent_at if run else None
+            self.remove_replaced_worker(order.vm, now, now - (sent_at or now))
             return
         # A restart since the stop resets its time: it says nothing of the new run.
         is_current = run and run.stop_sent_at is not None
@@ -410,11 +424,19 @@
             return
         stage.advice.apply_reply(named_vms, reply, now)
 
-    def remove_replaced_worker(self, vm: VmId, now: float) -> None:
-        """Removes a worker whose address now belongs to a worker of another id."""
+    def remove_replaced_worker(self, vm: VmId, now: float, age_s: float = 0.0) -> None:
+        """Removes a worker whose address now belongs to a worker of another id.
+
+        Args:
+            vm: The worker.
+            now: Monotonic time in seconds.
+            age_s: Seconds since the call was sent that the other worker has answered.
+        """
         worker = self.worker_by_vm.get(vm)
         if worker:
-            self._remove_worker(worker, "replaced", now)
+            evidence = EndEvidence(EndProof.WORKER_REPLACED, now, age_s)
+            self._remove_worker(worker, "replaced", evidence)
+            self._record_restarts()
 
     def expire_leases(self, now: float) -> None:
         """Ends the runs of silent workers whose leases have all expired.
@@ -430,19 +452,72 @@
                 for run in worker.run_by_key.values()
                 if worker.is_run_over(run, now, self.max_lease_s)
             ]
-            self._end_lost_runs(worker, lost, "lapsed", now)
+            silent_s = now - worker.silent_since
+            evidence = EndEvidence(EndProof.LEASES_ENDED, now, silent_s)
+            self._end_lost_runs(worker, lost, "lapsed", evidence)
             for run in lost:
-                self._settle(run)
-        for run in self.unsettled.settled(self.worker_by_vm, now, self.max_lease_s):
-            self._settle(run)
+                self._settle(run, evidence)
+        for run, evidence in self.unsettled.settled(
+            self.worker_by_vm, now, self.max_lease_s
+        ):
+            self._settle(run, evidence)
         granted = {
             vm
             for vm in self.unreported.vms
             if vm in self.worker_by_vm
             and not self.worker_by_vm[vm].own_leases_expired(now)
         }
-        if self.unreported.remove_expired(now, granted):
+        if self.stop_awaiting_expired(now, granted):
             self._stop_partial_gangs()
+        self._record_restarts()
+
+    def stop_awaiting_expired(self, now: float, granted: Collection[VmId] = ()) -> bool:
+        """Stops waiting for reports of workers whose leases have ended.
+
+        Args:
+            now: Monotonic time in seconds.
+            granted: Workers with a lease of this owner that may not have ended.
+
+        Returns:
+            Whether there were any.
+        """
+        expired = self.unreported.remove_expired(now, granted)
+        for vm, row in expired.items():
+            evidence = EndEvidence(EndProof.LEASES_ENDED, now, now - row.until)
+            self._record_unblocked(vm, row, evidence)
+        return bool(expired)
+
+    def _stop_awaiting(self, vm: VmId, evidence: EndEvidence) -> bool:
+        """Stops waiting for a worker; returns whether it was waited for."""
+        row = self.unreported.remove(vm)
+        if row:
+            self._record_unblocked(vm, row, evidence)
+        return row is not None
+
+    def _record_unblocked(
+        self, vm: VmId, row: UnreportedWorker, evidence: EndEvidence
+    ) -> None:
+        """Queues an event for the inherited jobs that do not wait for a worker now.
+
+        A report after which jobs still wait for other workers is the usual case.
+        """
+        is_report = evidence.proof is EndProof.LISTED_ALL
+        if is_report and self.unreported.may_run_any:
+            return
+        ids = self.job_by_id if row.job_ids is None else sorted(row.job_ids)
+        known = (self.job_by_id.get(job_id) for job_id in ids)
+        jobs = [j for j in known if j and j.inherited and not j.phase.is_final]
+        unblocked = [job.id for job in jobs if not self.is_blocked(job)]
+        if unblocked or (jobs and not is_report):
+            self.record_event(
+                events.INHERITED_JOBS_UNBLOCKED,
+                worker=vm,
+                proof=evidence.proof.value,
+                age=evidence.age_s,
+                jobs=len(unblocked),
+                awaited=len(self.unreported.vms),
+                named=" ".join(unblocked[:MAX_NAMED]),
+            )
 
     def is_blocked(self, job: Job) -> bool:
         """Returns whether a predecessor may have started tasks of a job elsewhere."""
@@ -629,19 +704,19 @@
         # Calls to it may still be under way if it returns.
         self._token_number_by_vm[vm] = worker.token_number + 1
 
-    def _remove_worker(self, worker: Worker, cause: str, now: float) -> None:
+    def _remove_worker(self, worker: Worker, cause: str, evidence: EndEvidence) -> None:
         # Orders that are under way to its address find another worker there.
         vm, lost = worker.entry.vm, list(worker.run_by_key.values())
-        self._end_lost_runs(worker, lost, cause, now)
+        self._end_lost_runs(worker, lost, cause, evidence)
         for run in [*lost, *self.unsettled.on_worker(vm)]:
-            self._settle(run)
+            self._settle(run, evidence)
         worker.registered = False
         self._forget_worker(worker)
-        if self.unreported.remove(worker.entry.vm):
+        if self._stop_awaiting(worker.entry.vm, evidence):
             self._stop_partial_gangs()
 
     def _end_lost_runs(
-        self, worker: Worker, runs: list[Run], cause: str, now: float
+        self, worker: Worker, runs: list[Run], cause: str, evidence: EndEvidence
     ) -> None:
         """Ends runs that a worker no longer has.
 
@@ -649,19 +724,24 @@
             worker: The worker.
             runs: The runs.
             cause: Cause for the event log.
-            now: Monotonic time in seconds.
+            evidence: What shows that they have ended.
         """
         if runs:
-            self.record_runs_lost(worker, runs, cause, now)
+            self.record_runs_lost(worker, runs, cause, evidence.at)
         for run in runs:
-            self.end_run(worker, run)
+            self.end_run(worker, run, evidence)
 
-    def end_run(self, worker: Worker, run: Run) -> Stage | None:
+    def end_run(self, worker: Worker, run: Run, evidence: EndEvidence) -> Stage | None:
         """Removes a run from its worker and releases its resources.
 
         While an order to start it is in doubt, it keeps them, and its task from
         starting again.
 
+        Args:
+            worker: The worker.
+            run: The run.
+            evidence: What shows that the present incarnation does not have it.
+
         Returns:
             The step of the run, or None if its job is not in the state.
         """
@@ -674,11 +754,14 @@
             run.phase = RunPhase.UNSETTLED
             worker.detach_run(run)
             self.unsettled.add(run, worker)
+            if stage.spec.lasting:
+                # It may start again on this worker.
+                self._record_end(run, stage, evidence)
             return stage
         if is_present:
             worker.remove_run(run)
             self.team_ledger.release(run)
-        self._settle(run)
+        self._settle(run, evidence)
         return stage
 
     def _binds_task(self, stage: Stage) -> bool:
@@ -688,22 +771,61 @@
         """
         return not (stage.spec.speculative or needs_advice(stage))
 
-    def _settle(self, run: Run) -> None:
-        """Removes a run that no order can start any more from its task."""
+    def _settle(self, run: Run, evidence: EndEvidence | None = None) -> None:
+        """Removes a run that no order can start any more from its task.
+
+        Args:
+            run: The run.
+            evidence: What shows it; None if the task needs no other run.
+        """
         if self.unsettled.remove(run):
             self.team_ledger.release(run)
         stage = self._stage_of(run)
         if stage and run in stage.tasks[run.index].runs:
+            if evidence:
+                self._record_end(run, stage, evidence)
             stage.tasks[run.index].runs.remove(run)
             self.job_by_id[run.job_id].drop_if_ended(stage.occurrence)
 
-    def end_unsettled_run(self, worker: Worker, key: RunKey) -> None:
+    def _record_end(self, run: Run, stage: Stage, evidence: EndEvidence) -> None:
+        """Records what shows that a run has ended, unless its task is done."""
+        task = stage.tasks[run.index]
+        if task.done:
+            return
+        worker = self.worker_by_vm.get(run.vm)
+        end = RunEnd(
+            run.vm,
+            run.number,
+            worker.born if worker else 0,
+            run.confirmed_born or run.ordered_born,
+            run.in_doubt,
+            evidence,
+        )
+        task.record_end(end)
+        self._unlogged_ends.append((run, end))
+
+    def _record_restarts(self) -> None:
+        """Queues events for the ended runs whose tasks may start again."""
+        ends, self._unlogged_ends = self._unlogged_ends, []
+        found = [(run, end) for run, end in ends if self._may_start_again(run)]
+        for fields in restart_fields(found):
+            self.record_event(events.TASKS_MAY_START_AGAIN, **fields)
+
+    def _may_start_again(self, run: Run) -> bool:
+        stage = self._stage_of(run)
+        if stage is None or stage.job.phase.is_final:
+            return False
+        return stage.tasks[run.index].may_start(stage.spec.lasting)
+
+    def end_unsettled_run(
+        self, worker: Worker, key: RunKey, evidence: EndEvidence
+    ) -> None:
         """Applies the end of an unsettled run that its worker lists."""
         run = self.unsettled.get(worker.entry.vm, key)
         if run:
             run.listed = True
             if not run.in_doubt:
-                self._settle(run)
+                self._settle(run, evidence)
 
     def restore_run(self, worker: Worker, key: RunKey, now: float) -> Run | None:
         """Returns an unsettled run that its worker lists, as one in progress.
@@ -725,6 +847,7 @@
             return None
         self.unsettled.remove(run)
         self.team_ledger.release(run)
+        stage.tasks[run.index].revoke_end(run)
         run.phase, run.changed_at = RunPhase.RUNNING, now
         run.progressed_at = run.observed_at = now
         run.stop_sent_at = run.stop_answered_at = None
@@ -752,13 +875,14 @@
         now: float,
     ) -> None:
         self.lost_runs.add(run, outcome.value, worker.born, now)
-        self.end_run(worker, run)
+        evidence = order_evidence(run, outcome, now)
+        self.end_run(worker, run, evidence)
         match outcome:
             case OrderOutcome.TICKET_INVALID:
                 if stage:
                     stage.advice.forget_worker(run.vm)
             case OrderOutcome.WORKER_REPLACED:
-                self._remove_worker(worker, "replaced", now)
+                self._remove_worker(worker, "replaced", evidence)
             case (
                 OrderOutcome.NOT_WANTED
                 | OrderOutcome.SUPERSEDED
@@ -780,7 +904,7 @@
         finished = range(len(stage.tasks)) if stage.spec.gang else (index,)
         for number in finished:
             task = stage.tasks[number]
-            task.done = True
+            task.complete()
             for run in list(task.runs):
                 if run.phase is RunPhase.UNSETTLED:
                     self._settle(run)
--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -142,7 +142,7 @@
             case OrderAnswer(outcome=OrderOutcome.FENCED):
                 await self._owner.end_ownership("a worker has seen a higher epoch")
             case OrderAnswer(outcome=OrderOutcome.WORKER_REPLACED):
-                self._state.remove_replaced_worker(vm, now)
+                self._state.remove_replaced_worker(vm, now, now - sent_at)
             case OrderAnswer(
                 outcome=OrderOutcome.SUPERSEDED | OrderOutcome.MISDIRECTED
             ):
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -499,7 +499,7 @@
             until = now + row.lease_s - age_s
             until = max(until, self._former_calls_end_at(row.vm, now))
             unreported.add(row.vm, until, None if row.any_job else row.job_ids)
-        unreported.remove_expired(now)
+        self.state.stop_awaiting_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
     def _predecessor_leases_end_at(self, vm: VmId, now: float) -> float:
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -6,6 +6,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.interfaces import EndedTask, RunningTask, WorkerReport
+from arbutusladder.cell.runends import EndEvidence, EndProof
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import EndKind, JobPhase, RunPhase
@@ -52,22 +53,26 @@
             worker.confirm(report.clock, now, self._cell.max_lease_s)
         else:
             worker.record_answer(None, now)
+        evidence = EndEvidence(EndProof.LISTED_END, now, now - sent_at)
         for ended in sorted(report.ended, key=lambda ended: ended.number):
             if ended.number > worker.last_end_number:
                 worker.record_end(ended.number, job_id_of_task(ended.task))
-                self._apply_end(worker, ended, now)
+                self._apply_end(worker, ended, evidence)
         listed = {(row.task, row.run) for row in report.running}
         for row in report.running:
             self._apply_running(worker, row, now)
         report_is_complete = len(report.ended) < MAX_REPORTED_ENDS
         if report_is_complete:
             worker.record_complete_report(sent_at)
-            missing = self._end_missing_runs(worker, report, listed, sent_at)
+            missing = self._end_missing_runs(worker, report, listed, sent_at, now)
             if missing:
                 self._cell.record_runs_lost(worker, missing, "missing", now)
         return report_is_complete
 
-    def _apply_end(self, worker: Worker, ended: EndedTask, now: float) -> None:
+    def _apply_end(
+        self, worker: Worker, ended: EndedTask, evidence: EndEvidence
+    ) -> None:
+        now = evidence.at
         stage, index = self._cell.find_task(ended.task)
         run = worker.run_by_key.get((ended.task, ended.run))
         if run:
@@ -76,9 +81,9 @@
             self._cell.record_listed(
                 worker, ended.task, ended.run, ended.how.value, now
             )
-            self._cell.end_unsettled_run(worker, (ended.task, ended.run))
+            self._cell.end_unsettled_run(worker, (ended.task, ended.run), evidence)
         if run:
-            self._cell.end_run(worker, run)
+            self._cell.end_run(worker, run, evidence)
         self._hold_end(worker, ended, stage, now)
         if stage is None or index >= len(stage.tasks):
             return
@@ -239,7 +244,12 @@
         return run
 
     def _end_missing_runs(
-        self, worker: Worker, report: WorkerReport, listed: set, sent_at: float
+        self,
+        worker: Worker,
+        report: WorkerReport,
+        listed: set,
+        sent_at: float,
+        now: float,
     ) -> list[Run]:
         """Ends runs that a worker lists neither as running nor as ended.
 
@@ -252,11 +262,13 @@
             The runs that were ended.
         """
         missing = []
+        excluded = EndEvidence(EndProof.EXCLUDED, now, now - sent_at)
+        omitted = EndEvidence(EndProof.OMITTED, now, now - sent_at)
         for run in list(worker.run_by_key.values()):
             if run.key in listed:
                 continue
             if 0 <= run.token_number < report.token_number:
-                self._cell.end_run(worker, run)
+                self._cell.end_run(worker, run, excluded)
                 missing.append(run)
                 continue
             if run.stop_answered_at is not None:
@@ -266,6 +278,6 @@
             else:
                 continue
             if sent_at > known_at:
-                self._cell.end_run(worker, run)
+                self._cell.end_run(worker, run, omitted)
                 missing.append(run)
         return missing
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -7,6 +7,7 @@
 from arbutusladder.cell.jobstate import JobState
 from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.performance.stepruns import StepDurations
+from arbutusladder.cell.runends import MAX_KEPT_ENDS, RunEnd
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.states import RunPhase, WaitCause
 from arbutusladder.ids import JobId, VmId
@@ -38,6 +39,7 @@
         last_run: Highest run number in use; 0 before the first run.
         checkpoint: Newest saved checkpoint; empty without one.
         runs: Runs that have not ended, or that an order may still start.
+        ends: Newest ends of its runs, each with its proof; none once it is done.
     """
 
     done: bool = False
@@ -45,12 +47,35 @@
     last_run: int = 0
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
+    ends: tuple[RunEnd, ...] = ()
+
+    def record_end(self, end: RunEnd) -> None:
+        """Records the end of a run, or a later proof of it."""
+        others = [e for e in self.ends if (e.vm, e.number) != (end.vm, end.number)]
+        self.ends = (*others, end)[-MAX_KEPT_ENDS:]
+
+    def revoke_end(self, run: Run) -> None:
+        """Removes the end of a run that goes on after all."""
+        self.ends = tuple(
+            end for end in self.ends if (end.vm, end.number) != (run.vm, run.number)
+        )
+
+    def complete(self) -> None:
+        """Records that a run has ended successfully."""
+        self.done = True
+        self.ends = ()
 
     @property
     def is_waiting(self) -> bool:
         """Whether it is not done and has no run, so that it may start anywhere."""
         return not self.done and not self.runs
 
+    def may_start(self, lasting: bool) -> bool:
+        """Returns whether no run keeps it from starting, on some worker at least."""
+        if not self.runs:
+            return not self.done
+        return lasting and self.bound_vm is not None
+
     @property
     def bound_vm(self) -> VmId | None:
         """The worker to which all of its orders in doubt were sent; None without any.
@@ -193,11 +218,8 @@
             if self.done or any(task.runs for task in self.tasks):
                 return []
             return list(range(len(self.tasks)))
-        return [
-            index
-            for index, task in enumerate(self.tasks)
-            if task.is_waiting or (self.spec.lasting and task.bound_vm)
-        ]
+        lasting = self.spec.lasting
+        return [i for i, task in enumerate(self.tasks) if task.may_start(lasting)]
 
     def next_run_number(self, index: int) -> int:
         """Returns the next run number of a task; members of a gang share it."""
--- a/arbutusladder/cell/unreported.py
+++ b/arbutusladder/cell/unreported.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True)
-class _Unreported:
+class UnreportedWorker:
     """What may run on one worker.
 
     Attributes:
@@ -35,7 +35,7 @@
 class UnreportedWorkers:
     """Workers without a complete report since the takeover."""
 
-    _unreported_by_vm: dict[VmId, _Unreported] = field(default_factory=dict)
+    _unreported_by_vm: dict[VmId, UnreportedWorker] = field(default_factory=dict)
 
     def __bool__(self) -> bool:
         """Returns whether there is any."""
@@ -57,7 +57,7 @@
             job_ids: Jobs that may run on it; None if any inherited job may.
         """
         jobs = None if job_ids is None else frozenset(job_ids)
-        self._unreported_by_vm[vm] = _Unreported(until, jobs)
+        self._unreported_by_vm[vm] = UnreportedWorker(until, jobs)
 
     def leases_end_at(self, vm: VmId) -> float:
         """Returns when every lease of a predecessor on a worker has ended.
@@ -68,25 +68,36 @@
         row = self._unreported_by_vm.get(vm)
         return row.until if row else -math.inf
 
-    def remove(self, vm: VmId) -> bool:
-        """Removes a worker that has listed all; returns whether it was in the list."""
-        return self._unreported_by_vm.pop(vm, None) is not None
+    def remove(self, vm: VmId) -> UnreportedWorker | None:
+        """Removes a worker that has listed all; returns what might have run on it.
 
-    def remove_expired(self, now: float, granted: Collection[VmId] = ()) -> bool:
-        """Removes the workers whose leases have ended; returns whether there were any.
+        Returns:
+            None if the worker was not in the list.
+        """
+        return self._unreported_by_vm.pop(vm, None)
+
+    def remove_expired(
+        self, now: float, granted: Collection[VmId] = ()
+    ) -> dict[VmId, UnreportedWorker]:
+        """Removes and returns the workers whose leases have ended.
 
         Args:
             now: Monotonic time in seconds.
             granted: Workers with a lease of this owner that may not have ended.
         """
-        expired = [
-            vm
+        expired = {
+            vm: row
             for vm, row in self._unreported_by_vm.items()
             if now > row.until and vm not in granted
-        ]
+        }
         for vm in expired:
             del self._unreported_by_vm[vm]
-        return bool(expired)
+        return expired
+
+    @property
+    def may_run_any(self) -> bool:
+        """Whether any inherited job may run on one of the workers."""
+        return any(row.job_ids is None for row in self._unreported_by_vm.values())
 
     def may_run(self, job_id: JobId) -> bool:
         """Returns whether a task of an inherited job may run on one of the workers."""
--- a/arbutusladder/cell/unsettledruns.py
+++ b/arbutusladder/cell/unsettledruns.py
@@ -9,6 +9,7 @@
 import math
 from dataclasses import dataclass, field
 
+from arbutusladder.cell.runends import EndEvidence, EndProof
 from arbutusladder.cell.runs import Run, RunKey
 from arbutusladder.cell.workers import Worker, latest_order_end_s
 from arbutusladder.ids import VmId
@@ -65,8 +66,8 @@
 
     def settled(
         self, worker_by_vm: dict[VmId, Worker], now: float, max_lease_s: float
-    ) -> list[Run]:
-        """Returns the runs whose orders can no longer be executed.
+    ) -> list[tuple[Run, EndEvidence]]:
+        """Returns the runs whose orders can no longer be executed, with the evidence.
 
         Args:
             worker_by_vm: The known workers.
@@ -76,11 +77,13 @@
         for key, by_run in list(self._doubt_end_by_run.items()):
             if max(by_run.values(), default=now) <= now:
                 del self._doubt_end_by_run[key]
-        return [
-            run
-            for run in self._run_by_order.values()
-            if _is_settled(run, worker_by_vm.get(run.vm), now, max_lease_s)
-        ]
+        found = []
+        for run in self._run_by_order.values():
+            worker = worker_by_vm.get(run.vm)
+            evidence = _settling_evidence(run, worker, now, max_lease_s)
+            if evidence:
+                found.append((run, evidence))
+        return found
 
 
 def _doubt_key(run: Run) -> str:
@@ -92,17 +95,22 @@
     return task.rpartition(".")[0]
 
 
-def _is_settled(
+def _settling_evidence(
     run: Run, worker: Worker | None, now: float, max_lease_s: float
-) -> bool:
-    """Returns whether no incarnation runs, or still starts, a run.
+) -> EndEvidence | None:
+    """Returns what shows that no incarnation runs, or still starts, a run.
 
     A complete report that was requested once no order could be executed any more, or
     after the last answer, would list the run. Without one, it has ended with its
     longest lease.
     """
     if worker is None:
-        return now > run.ordered_at + latest_order_end_s(max_lease_s)
+        if now > run.ordered_at + latest_order_end_s(max_lease_s):
+            return EndEvidence(EndProof.ORDERS_EXPIRED, now, now - run.ordered_at)
+        return None
     if worker.listed_all_at > max(run.changed_at, run.doubt_ends_at):
-        return True
-    return worker.silent_since is not None and worker.is_run_over(run, now, max_lease_s)
+        return EndEvidence(EndProof.ORDERS_EXPIRED, now, now - worker.listed_all_at)
+    silent_since = worker.silent_since
+    if silent_since is not None and worker.is_run_over(run, now, max_lease_s):
+        return EndEvidence(EndProof.LEASES_ENDED, now, now - silent_since)
+    return None
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -200,6 +200,20 @@
     "it counted as ended {seconds:.3f} s before: {cause}, incarnation {former}, order "
     "without an answer: {unanswered}",
 )
+TASKS_MAY_START_AGAIN = Event(
+    483,
+    Level.INFO,
+    "{runs} runs on worker {worker}, incarnation {born}, have ended or never begin, "
+    "and their tasks may start again: {proof}, evidence of up to {age:.3f} s before; "
+    "task:run(its incarnation, ? for an order in doubt) {named}",
+)
+INHERITED_JOBS_UNBLOCKED = Event(
+    484,
+    Level.INFO,
+    "inherited jobs do not wait for worker {worker} any more: {proof}, evidence of "
+    "{age:.3f} s before; {jobs} of them may start, {awaited} other workers are "
+    "waited for; {named}",
+)
 WORKER_INCARNATION_BEGAN = Event(
     474,
     Level.WARNING,
--- a/tests/cell/exploretrace.py
+++ b/tests/cell/exploretrace.py
@@ -18,7 +18,7 @@
     """Returns a patch that adds an event for each run that is taken for ended."""
     original = CellState.end_run
 
-    def end_run(cell, worker, run):
+    def end_run(cell, worker, run, evidence):
         if run.key in worker.run_by_key:
             cell.record_event(
                 RUN_TAKEN_FOR_ENDED,
@@ -28,7 +28,7 @@
                 calls=" < ".join(_callers()),
                 known=_describe(worker, run, Clock().now()),
             )
-        return original(cell, worker, run)
+        return original(cell, worker, run, evidence)
 
     return mock.patch.object(CellState, "end_run", end_run)
 
--- a/tests/cell/test_preview.py
+++ b/tests/cell/test_preview.py
@@ -136,7 +136,7 @@
             for worker in cell.state.worker_by_vm.values():
                 for run in list(worker.run_by_key.values()):
                     if draw.random() < 0.3:
-                        stage = cell.state.end_run(worker, run)
+                        stage = cell.state.end_run(worker, run, workloads.LISTED_END)
                         cell.state.complete_task(stage, run.index)
                 cell.report(worker.entry.vm, now=now)
             now += 0.1
--- a/tests/cell/test_settlingruns.py
+++ b/tests/cell/test_settlingruns.py
@@ -216,7 +216,7 @@
         first, second = list(worker.run_by_key.values())
         first.record_start_answer(ACCEPTED)
         for run in (first, second):
-            state.end_run(worker, run)
+            state.end_run(worker, run, workloads.LISTED_END)
         row = RunningTask(second.task, 1, "", 5.0)
         state.apply_report(ENTRY.vm, WorkerReport(NEW, 0.2, [row]), NOW + 2, NOW + 2)
         assert worker.run_by_key == {second.key: second}
--- a/tests/cell/test_teamusage.py
+++ b/tests/cell/test_teamusage.py
@@ -234,7 +234,7 @@
         worker = cell.state.worker_by_vm[cell.entries[0].vm]
         (run,) = worker.run_by_key.values()
         cell.report(worker.entry.vm, [], NOW + 1.0)
-        cell.state.end_run(worker, run)
+        cell.state.end_run(worker, run, workloads.LISTED_END)
         assert cell.charged_cpu() == 0.0 and len(cell.start(NOW + 1.1)) == 1
 
     def test_filler_task_is_charged_with_its_cores(self):
--- a/tests/cell/test_unsettledruns.py
+++ b/tests/cell/test_unsettledruns.py
@@ -134,7 +134,7 @@
             ENTRY.vm, WorkerReport(OLD, 5.2, [row]), NOW + 0.2, NOW + 0.2
         )
         for run in list(worker.run_by_key.values()):
-            state.end_run(worker, run)
+            state.end_run(worker, run, workloads.LISTED_END)
         assert stage.waiting_tasks() == []
         assert stage.active_runs == []
 
--- a/tests/cell/workloads.py
+++ b/tests/cell/workloads.py
@@ -3,10 +3,13 @@
 import random
 
 from arbutusladder.cell.interfaces import WorkerEntry
+from arbutusladder.cell.runends import EndEvidence, EndProof
 from arbutusladder.ids import JobId, VmId
 from arbutusladder.messages import QueueTerms, Resources, StepSpec, SubmittedJob
 
 SERVICE = "svc"
+# Evidence of the ends of runs for which it does not matter.
+LISTED_END = EndEvidence(EndProof.LISTED_END, 100.0)
 
 
 def workers(count=24, cores=64.0, memory_mb=131072.0, rack=6):
