--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -19,6 +19,7 @@
     SpeedPreference,
     speed_preference,
 )
+from arbutusladder.cell.runends import MAX_NAMED
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stageorder import StageOrder
 from arbutusladder.cell.stages import Stage
@@ -127,6 +128,7 @@
                     seconds=now - stage.job.accepted_at,
                     waiting=len(waiting),
                     placed=_format_starts(starts),
+                    earlier=_format_earlier_runs(stage, starts, now),
                     waits=_format_waits(stage.take_waits()),
                     view=view_age_s,
                 )
@@ -477,6 +479,25 @@
     )
 
 
+def _format_earlier_runs(stage: Stage, starts: list[StartOrder], now: float) -> str:
+    """Formats the newest earlier run of started tasks for the event log.
+
+    Each has the form index:run@worker(proof,age of its evidence), with a question mark
+    if an order was in doubt.
+    """
+    parts = []
+    for order in starts:
+        index = order.task.rpartition(".")[2]
+        for end in stage.tasks[int(index)].ends[-1:]:
+            evidence = f"{end.evidence.proof.value},{end.age_s(now):.3f}s"
+            doubt = "?" if end.in_doubt else ""
+            parts.append(f"{index}:{end.number}@{end.vm}({evidence}{doubt})")
+    if not parts:
+        return "none"
+    omitted = len(parts) - MAX_NAMED
+    return " ".join(parts[:MAX_NAMED]) + (f" and {omitted} others" * (omitted > 0))
+
+
 def _stop_due(run: Run, now: float) -> bool:
     if not run.stop_wanted or run.phase is RunPhase.SENT:
         return False
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -252,7 +252,7 @@
     Level.INFO,
     "step {step} started {tasks} tasks, first known {seconds:.3f} s before; "
     "{waiting} steps waited; index:run@worker {placed}; waited for {waits}; "
-    "jobs known as of {view:.3f} s before",
+    "jobs known as of {view:.3f} s before; earlier runs {earlier}",
 )
 OWNER_LOAD = Event(
     469,
--- a/tests/cell/test_runends.py
+++ b/tests/cell/test_runends.py
@@ -5,6 +5,7 @@
 import pytest
 
 from arbutusladder import events
+from arbutusladder.cell.advicecalls import AdviceCapacity
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.interfaces import (
     EndedTask,
@@ -13,6 +14,7 @@
     StopOrder,
     WorkerReport,
 )
+from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.runends import MAX_KEPT_ENDS, MAX_NAMED, EndProof
 from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, latest_order_end_s
@@ -367,3 +369,46 @@
         state.apply_report(self.VMS[0], report, NOW + 0.9, NOW + 1.0)
         kinds = [event for event, _ in state.changes.pending_events]
         assert events.TASKS_MAY_START_AGAIN not in kinds
+
+
+class TestStartAgain:
+    """The line of a start names the earlier run and the proof of its end."""
+
+    def test_earlier_run(self):
+        """Guards against a second start without a line that tells why it was right."""
+        cell = listed_end()
+        Placer(cell.state).decide(NOW + 2.0, AdviceCapacity(8, 6))
+        (fields,) = written(cell, events.STEP_STARTED)
+        assert fields["placed"] == f"0:2@{ENTRY.vm}"
+        assert fields["earlier"] == f"0:1@{ENTRY.vm}(listed_end,1.300s)"
+
+    def test_first_start(self):
+        """Guards against a line that names a run of another task."""
+        cell = listed_end()
+        cell.state.add_job(workloads.quote(2), JobProgress(JobPhase.QUEUED), NOW)
+        Placer(cell.state).decide(NOW + 2.0, AdviceCapacity(8, 6))
+        fields = written(cell, events.STEP_STARTED)
+        earlier = {row["step"][:16]: row["earlier"] for row in fields}
+        assert earlier[workloads.job_id(2)] == "none"
+
+    def test_order_in_doubt(self):
+        """Guards against a start beside an order in doubt that the line hides."""
+        cell = lasting_unsettled()
+        Placer(cell.state).decide(NOW + 2.0, AdviceCapacity(8, 6))
+        (fields,) = written(cell, events.STEP_STARTED)
+        assert fields["earlier"] == f"0:1@{ENTRY.vm}(excluded,1.300s?)"
+
+    def test_number_of_named_runs_is_bounded(self):
+        """Guards against lines that grow with the size of a step."""
+        cell = RestartingWorker()
+        count = MAX_NAMED + 2
+        record = workloads.audit(2, count=count, cpu=1.0)
+        job = cell.state.add_job(record, JobProgress(JobPhase.QUEUED), NOW)
+        (stage,) = job.stage_by_key.values()
+        for index in range(count):
+            cell.state.create_run(stage, index, 1, ENTRY.vm, RunPhase.RUNNING, NOW)
+        cell.report(OLD, NOW + 1.0)
+        Placer(cell.state).decide(NOW + 2.0, AdviceCapacity(8, 6))
+        (fields,) = written(cell, events.STEP_STARTED)
+        assert fields["earlier"].count("omitted") == MAX_NAMED
+        assert fields["earlier"].endswith(" and 2 others")
