--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -673,9 +673,7 @@
             charge=stage.spec.need,
             urgent=is_urgent(stage),
         )
-        task = stage.tasks[index]
-        task.runs.append(run)
-        task.last_run = max(task.last_run, number)
+        stage.tasks[index].add_run(run)
         self.add_run(run)
         if phase is RunPhase.RUNNING:
             self.record_begin(run)
--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -268,7 +268,10 @@
             needs_ticket = needs_advice(stage) and ticket is None
             if needs_ticket:
                 break
-            orders.append(self._start(stage, index, worker, ticket or "", now))
+            order = self._start(stage, index, worker, ticket or "", now)
+            if order is None:
+                continue
+            orders.append(order)
             this_round.consume(stage, need)
             if this_round.order.is_overtaken(stage):
                 break
@@ -363,6 +366,13 @@
     ) -> list[Order]:
         number = stage.next_run_number(0)
         checkpoint = stage.gang_checkpoint()
+        refused = [
+            index
+            for index, worker in enumerate(chosen)
+            if self._refuses_start(stage, index, worker.entry.vm)
+        ]
+        if refused:
+            return []
         orders: list[Order] = []
         for index, worker in enumerate(chosen):
             ticket = stage.advice.valid_ticket(worker.entry.vm, now) or ""
@@ -380,7 +390,14 @@
         now: float,
         number: int | None = None,
         checkpoint: str | None = None,
-    ) -> StartOrder:
+    ) -> StartOrder | None:
+        """Returns an order to start a task, and creates its run.
+
+        Returns:
+            None if nothing shows that an earlier run of the task has ended.
+        """
+        if self._refuses_start(stage, index, worker.entry.vm):
+            return None
         if number is None:
             number = stage.next_run_number(index)
         if checkpoint is None:
@@ -394,6 +411,24 @@
             vm, run.task, number, stage.job.record.payload, checkpoint, ticket
         )
 
+    def _refuses_start(self, stage: Stage, index: int, vm: VmId) -> bool:
+        """Returns whether an earlier run without a proof of its end forbids a start.
+
+        A task with such a run does not wait to be started. This is a second check, for
+        a fault by which a run is removed from its task.
+        """
+        unproven = stage.unproven_runs(index, vm)
+        task = stage.tasks[index]
+        if unproven and not task.start_refused:
+            task.start_refused = True
+            self._cell.record_event(
+                events.START_WITHOUT_PROOF,
+                task=stage.task_name(index),
+                worker=vm,
+                runs=" ".join(f"{number}@{former}" for former, number in unproven),
+            )
+        return bool(unproven)
+
     def _reserve_for_gang(self, stage: Stage, this_round: DecisionRound) -> None:
         """Keeps non-urgent steps of lower priority off workers until the gang fits.
 
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -89,6 +89,7 @@
             return
         task = stage.tasks[index]
         task.last_run = max(task.last_run, ended.run)
+        task.record_listed_end(worker.entry.vm, ended.run)
         if ended.saved:
             task.checkpoint = ended.saved
         self._cell.changes.dirty.add(stage.job.id)
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -29,6 +29,10 @@
 TICKET_MARGIN_S = 0.2
 
 
+# Worker and number of a run of a task.
+RunOnWorker = tuple[VmId, int]
+
+
 @dataclass(slots=True)
 class Task:
     """One task of a step.
@@ -40,6 +44,8 @@
         checkpoint: Newest saved checkpoint; empty without one.
         runs: Runs that have not ended, or that an order may still start.
         ends: Newest ends of its runs, each with its proof; none once it is done.
+        unproven: Workers and numbers of the runs without a proof of their end.
+        start_refused: Whether it was not started because of those.
     """
 
     done: bool = False
@@ -48,22 +54,50 @@
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
     ends: tuple[RunEnd, ...] = ()
+    unproven: tuple[RunOnWorker, ...] = ()
+    start_refused: bool = False
+
+    def add_run(self, run: Run) -> None:
+        """Adds a run."""
+        self.runs.append(run)
+        self.last_run = max(self.last_run, run.number)
+        self._add_unproven((run.vm, run.number))
 
     def record_end(self, end: RunEnd) -> None:
         """Records the end of a run, or a later proof of it."""
-        others = [e for e in self.ends if (e.vm, e.number) != (end.vm, end.number)]
+        key = (end.vm, end.number)
+        others = [other for other in self.ends if (other.vm, other.number) != key]
         self.ends = (*others, end)[-MAX_KEPT_ENDS:]
+        self._remove_unproven(key)
+
+    def record_listed_end(self, vm: VmId, number: int) -> None:
+        """Records an end that a worker lists of a run that is not known any more."""
+        if (vm, number) not in self.run_by_worker:
+            self._remove_unproven((vm, number))
 
     def revoke_end(self, run: Run) -> None:
         """Removes the end of a run that goes on after all."""
-        self.ends = tuple(
-            end for end in self.ends if (end.vm, end.number) != (run.vm, run.number)
-        )
+        key = (run.vm, run.number)
+        self.ends = tuple(end for end in self.ends if (end.vm, end.number) != key)
+        self._add_unproven(key)
 
     def complete(self) -> None:
         """Records that a run has ended successfully."""
         self.done = True
-        self.ends = ()
+        self.ends = self.unproven = ()
+
+    def _add_unproven(self, key: RunOnWorker) -> None:
+        self._remove_unproven(key)
+        self.unproven += (key,)
+
+    def _remove_unproven(self, key: RunOnWorker) -> None:
+        self.unproven = tuple(other for other in self.unproven if other != key)
+        self.start_refused = False
+
+    @property
+    def run_by_worker(self) -> dict[RunOnWorker, Run]:
+        """Its runs by worker and number."""
+        return {(run.vm, run.number): run for run in self.runs}
 
     @property
     def is_waiting(self) -> bool:
@@ -221,6 +255,24 @@
         lasting = self.spec.lasting
         return [i for i, task in enumerate(self.tasks) if task.may_start(lasting)]
 
+    def unproven_runs(self, index: int, vm: VmId) -> list[RunOnWorker]:
+        """Returns the runs of a task that forbid its start on a worker.
+
+        A task that lasts may start on the worker to which an order in doubt was sent.
+        """
+        task = self.tasks[index]
+        run_by_worker = task.run_by_worker
+        return [
+            key
+            for key in dict.fromkeys((*task.unproven, *run_by_worker))
+            if not (
+                self.spec.lasting
+                and key[0] == vm
+                and key in run_by_worker
+                and run_by_worker[key].phase is RunPhase.UNSETTLED
+            )
+        ]
+
     def next_run_number(self, index: int) -> int:
         """Returns the next run number of a task; members of a gang share it."""
         if self.spec.gang:
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -214,6 +214,14 @@
     "{age:.3f} s before; {jobs} of them may start, {awaited} other workers are "
     "waited for; {named}",
 )
+START_WITHOUT_PROOF = Event(
+    485,
+    Level.ERROR,
+    "does not start task {task} on worker {worker}: nothing shows that these runs of "
+    "it, run@worker, have ended: {runs}",
+    "report it with the log of this entry VM; the task starts once the worker lists "
+    "the end of the run, or under another owner",
+)
 WORKER_INCARNATION_BEGAN = Event(
     474,
     Level.WARNING,
--- a/tests/cell/test_runends.py
+++ b/tests/cell/test_runends.py
@@ -1,6 +1,7 @@
 """Tests of the evidence by which tasks may start again, and of what the log says."""
 
 import dataclasses
+from unittest import mock
 
 import pytest
 
@@ -11,11 +12,13 @@
     EndedTask,
     OrderAnswer,
     RunningTask,
+    StartOrder,
     StopOrder,
     WorkerReport,
 )
 from arbutusladder.cell.placement import Placer
 from arbutusladder.cell.runends import MAX_KEPT_ENDS, MAX_NAMED, EndProof
+from arbutusladder.cell.stages import Task
 from arbutusladder.cell.states import EndKind, JobPhase, OrderOutcome, RunPhase
 from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, latest_order_end_s
 from arbutusladder.messages import JobProgress
@@ -412,3 +415,81 @@
         (fields,) = written(cell, events.STEP_STARTED)
         assert fields["earlier"].count("omitted") == MAX_NAMED
         assert fields["earlier"].endswith(" and 2 others")
+
+
+def starts(cell, now):
+    """Returns the tasks that a round of decisions starts."""
+    orders = Placer(cell.state).decide(now, AdviceCapacity(8, 6))
+    return [order.task for order in orders if isinstance(order, StartOrder)]
+
+
+def end_without_evidence():
+    """Mutant: a run is removed from its task without evidence of its end."""
+    settle = CellState._settle
+    return mock.patch.object(
+        CellState, "_settle", lambda cell, run, evidence: settle(cell, run)
+    )
+
+
+def ignore_runs():
+    """Mutant: a task with a run may be started."""
+    return mock.patch.object(Task, "may_start", lambda task, lasting: not task.done)
+
+
+class TestGuard:
+    """A start is refused if an earlier run of the task has no proof of its end."""
+
+    @pytest.mark.parametrize("path", [row[0] for row in PATHS], ids=name_of)
+    def test_start_with_a_proof(self, path):
+        """Guards against a task that is never started again."""
+        cell = path()
+        other = dataclasses.replace(ENTRY, vm="w-other", address="10.0.1.1:80")
+        entries = {other.vm: other}
+        if ENTRY.vm in cell.state.worker_by_vm:
+            entries[ENTRY.vm] = dataclasses.replace(ENTRY, born=cell.worker.born)
+        later = NOW + 60.1
+        cell.state.update_registry(entries, later)
+        for vm in entries:
+            worker = cell.state.worker_by_vm[vm]
+            report = WorkerReport(worker.born, 70.0, token_number=worker.token_number)
+            cell.state.apply_report(vm, report, later, later)
+        cell.stage.job.record.queue = workloads.QUOTES
+        assert starts(cell, later + 0.1) == [cell.order.task]
+        assert not written(cell, events.START_WITHOUT_PROOF)
+
+    @pytest.mark.parametrize(
+        ("mutant", "path"),
+        [(end_without_evidence, omitted_after_start), (ignore_runs, confirmed_cell)],
+        ids=name_of,
+    )
+    def test_start_without_a_proof(self, mutant, path):
+        """Guards against a second run while nothing shows that the first has ended."""
+        with mutant():
+            cell = path()
+            assert cell.stage.waiting_tasks() == [0]
+            for now in (NOW + 2.0, NOW + 2.1):
+                assert starts(cell, now) == []
+        (fields,) = written(cell, events.START_WITHOUT_PROOF)
+        assert fields["runs"] == f"1@{ENTRY.vm}"
+
+    def test_late_proof(self):
+        """Guards against a task that is refused although its worker lists the end."""
+        with end_without_evidence():
+            cell = omitted_after_start()
+        assert starts(cell, NOW + 2.0) == []
+        report_end(cell, OLD, NOW + 3.0)
+        assert starts(cell, NOW + 3.1) == [cell.order.task]
+
+    def test_gang(self):
+        """Guards against a part of a gang that starts without the refused member."""
+        cell = RestartingWorker()
+        record = workloads.residual(2, count=2)
+        job = cell.state.add_job(record, JobProgress(JobPhase.QUEUED), NOW)
+        (stage,) = job.stage_by_key.values()
+        run = cell.state.create_run(stage, 1, 1, ENTRY.vm, RunPhase.RUNNING, NOW)
+        with end_without_evidence():
+            cell.state.end_run(cell.worker, run, workloads.LISTED_END)
+        assert stage.waiting_tasks() == [0, 1]
+        assert starts(cell, NOW + 2.0) == []
+        (fields,) = written(cell, events.START_WITHOUT_PROOF)
+        assert fields["task"] == run.task
