--- a/arbutusladder/cell/placement.py
+++ b/arbutusladder/cell/placement.py
@@ -518,12 +518,16 @@
     """Formats the newest earlier run of started tasks for the event log.
 
     Each has the form index:run@worker(proof,age of its evidence), with a question mark
-    if an order was in doubt.
+    if an order was in doubt. A predecessor's run that this owner has not seen has the
+    form index:run(inherited).
     """
     parts = []
     for order in starts:
         index = order.task.rpartition(".")[2]
-        for end in stage.tasks[int(index)].ends[-1:]:
+        ends = stage.tasks[int(index)].ends[-1:]
+        if order.run > 1 and not ends:
+            parts.append(f"{index}:{order.run - 1}(inherited)")
+        for end in ends:
             evidence = f"{end.evidence.proof.value},{end.age_s(now):.3f}s"
             doubt = "?" if end.in_doubt else ""
             parts.append(f"{index}:{end.number}@{end.vm}({evidence}{doubt})")
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -6,7 +6,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.interfaces import EndedTask, RunningTask, WorkerReport
-from arbutusladder.cell.runends import EndEvidence, EndProof
+from arbutusladder.cell.runends import EndEvidence, EndProof, RunEnd
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.stages import Stage
 from arbutusladder.cell.states import EndKind, JobPhase, RunPhase
@@ -89,7 +89,13 @@
             return
         task = stage.tasks[index]
         task.last_run = max(task.last_run, ended.run)
-        task.record_listed_end(worker.entry.vm, ended.run)
+        vm = worker.entry.vm
+        is_unknown = run is None and (vm, ended.run) not in task.run_by_worker
+        if is_unknown and not task.done:
+            # A predecessor may have started it.
+            task.record_end(
+                RunEnd(vm, ended.run, worker.born, worker.born, False, evidence)
+            )
         if ended.saved:
             task.checkpoint = ended.saved
         self._cell.changes.dirty.add(stage.job.id)
--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -70,11 +70,6 @@
         self.ends = (*others, end)[-MAX_KEPT_ENDS:]
         self._remove_unproven(key)
 
-    def record_listed_end(self, vm: VmId, number: int) -> None:
-        """Records an end that a worker lists of a run that is not known any more."""
-        if (vm, number) not in self.run_by_worker:
-            self._remove_unproven((vm, number))
-
     def revoke_end(self, run: Run) -> None:
         """Removes the end of a run that goes on after all."""
         key = (run.vm, run.number)
--- a/tests/cell/test_runends.py
+++ b/tests/cell/test_runends.py
@@ -295,6 +295,15 @@
         assert [fields["runs"] for fields in logged] == [count]
         assert len(logged[0]["named"].split()) == MAX_NAMED
 
+    def test_finished_task_keeps_none(self):
+        """Guards against memory for late ends of tasks that are done."""
+        cell = confirmed_cell()
+        cell.state.complete_task(cell.stage, 0)
+        ended = [EndedTask(1, cell.order.task, 7, EndKind.FAILED, "")]
+        report = WorkerReport(OLD, 6.0, [], ended, cell.worker.token_number)
+        cell.state.apply_report(ENTRY.vm, report, NOW + 0.9, NOW + 1.0)
+        assert not cell.task.ends and not cell.task.unproven
+
     def test_newest_ends_are_kept(self):
         """Guards against memory that grows with the restarts of a task that lasts."""
         cell = RestartingWorker()
@@ -394,6 +403,24 @@
         earlier = {row["step"][:16]: row["earlier"] for row in fields}
         assert earlier[workloads.job_id(2)] == "none"
 
+    @pytest.mark.parametrize("is_listed", [False, True])
+    def test_run_of_a_predecessor(self, is_listed):
+        """Guards against a start that looks like the first one of its task."""
+        cell = RestartingWorker()
+        cell.state.job_by_id.clear()
+        record = workloads.quote(2, count=1)
+        job = cell.state.add_job(record, JobProgress(JobPhase.QUEUED), NOW, True)
+        (stage,) = job.stage_by_key.values()
+        stage.tasks[0].last_run = 1
+        if is_listed:
+            ended = [EndedTask(1, stage.task_name(0), 1, EndKind.FAILED, "")]
+            report = WorkerReport(OLD, 6.0, [], ended)
+            cell.state.apply_report(ENTRY.vm, report, NOW + 0.7, NOW + 1.0)
+        Placer(cell.state).decide(NOW + 2.0, AdviceCapacity(8, 6))
+        (fields,) = written(cell, events.STEP_STARTED)
+        listed = f"0:1@{ENTRY.vm}(listed_end,1.300s)"
+        assert fields["earlier"] == (listed if is_listed else "0:1(inherited)")
+
     def test_order_in_doubt(self):
         """Guards against a start beside an order in doubt that the line hides."""
         cell = lasting_unsettled()
