--- a/tests/cell/explorecell.py
+++ b/tests/cell/explorecell.py
@@ -49,7 +49,7 @@
         text = f"{self._process.name}: {event.number} {event.text.format(**fields)}"
         if event in self._noted:
             self._checker.note(text)
-        if event is events.BACKGROUND_TASK_FAILED:
+        if event in (events.BACKGROUND_TASK_FAILED, events.START_WITHOUT_PROOF):
             self._checker.breaks("FAILURE", text)
 
 
