--- a/arbutusladder/cell/stages.py
+++ b/arbutusladder/cell/stages.py
@@ -7,6 +7,7 @@
 from arbutusladder.cell.jobstate import JobState
 from arbutusladder.cell.performance.speed import STALL_TIMEOUT_S, expected_duration_s
 from arbutusladder.cell.performance.stepruns import StepDurations
+from arbutusladder.cell.runends import MAX_KEPT_ENDS, RunEnd
 from arbutusladder.cell.runs import Run
 from arbutusladder.cell.states import RunPhase, WaitCause
 from arbutusladder.ids import JobId, VmId
@@ -28,6 +29,10 @@
 TICKET_MARGIN_S = 0.2
 
 
+# Worker and number of a run of a task.
+RunOnWorker = tuple[VmId, int]
+
+
 @dataclass(slots=True)
 class Task:
     """One task of a step.
@@ -38,6 +43,9 @@
         last_run: Highest run number in use; 0 before the first run.
         checkpoint: Newest saved checkpoint; empty without one.
         runs: Runs that have not ended, or that an order may still start.
+        ends: Newest ends of its runs, each with its proof; none once it is done.
+        unproven: Workers and numbers of the runs without a proof of their end.
+        start_refused: Whether it was not started because of those.
     """
 
     done: bool = False
@@ -45,12 +53,58 @@
     last_run: int = 0
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
+    ends: tuple[RunEnd, ...] = ()
+    unproven: tuple[RunOnWorker, ...] = ()
+    start_refused: bool = False
+
+    def add_run(self, run: Run) -> None:
+        """Adds a run."""
+        self.runs.append(run)
+        self.last_run = max(self.last_run, run.number)
+        self._add_unproven((run.vm, run.number))
+
+    def record_end(self, end: RunEnd) -> None:
+        """Records the end of a run, or a later proof of it."""
+        key = (end.vm, end.number)
+        others = [other for other in self.ends if (other.vm, other.number) != key]
+        self.ends = (*others, end)[-MAX_KEPT_ENDS:]
+        self._remove_unproven(key)
+
+    def revoke_end(self, run: Run) -> None:
+        """Removes the end of a run that goes on after all."""
+        key = (run.vm, run.number)
+        self.ends = tuple(end for end in self.ends if (end.vm, end.number) != key)
+        self._add_unproven(key)
+
+    def complete(self) -> None:
+        """Records that a run has ended successfully."""
+        self.done = True
+        self.ends = self.unproven = ()
+
+    def _add_unproven(self, key: RunOnWorker) -> None:
+        self._remove_unproven(key)
+        self.unproven += (key,)
+
+    def _remove_unproven(self, key: RunOnWorker) -> None:
+        self.unproven = tuple(other for other in self.unproven if other != key)
+        self.start_refused = False
+
+    @property
+    def run_by_worker(self) -> dict[RunOnWorker, Run]:
+        """Its runs by worker and number."""
+        return {(run.vm, run.number): run for run in self.runs}
 
     @property
     def is_waiting(self) -> bool:
         """Whether it is not done and has no run, so that it may start anywhere."""
         return not self.done and not self.runs
 
+    def may_start(self, lasting: bool) -> bool:
+        """Returns whether no run keeps it from starting, on some worker at least."""
+        if not self.runs:
+            return not self.done
+        return lasting and self.bound_vm is not None
+
     @property
     def bound_vm(self) -> VmId | None:
         """The worker to which all of its orders in doubt were sent; None without any.
@@ -193,10 +247,25 @@
             if self.done or any(task.runs for task in self.tasks):
                 return []
             return list(range(len(self.tasks)))
+        lasting = self.spec.lasting
+        return [i for i, task in enumerate(self.tasks) if task.may_start(lasting)]
+
+    def unproven_runs(self, index: int, vm: VmId) -> list[RunOnWorker]:
+        """Returns the runs of a task that forbid its start on a worker.
+
+        A task that lasts may start on the worker to which an order in doubt was sent.
+        """
+        task = self.tasks[index]
+        run_by_worker = task.run_by_worker
         return [
-            index
-            for index, task in enumerate(self.tasks)
-            if task.is_waiting or (self.spec.lasting and task.bound_vm)
+            key
+            for key in dict.fromkeys((*task.unproven, *run_by_worker))
+            if not (
+                self.spec.lasting
+                and key[0] == vm
+                and key in run_by_worker
+                and run_by_worker[key].phase is RunPhase.UNSETTLED
+            )
         ]
 
     def next_run_number(self, index: int) -> int:
--- a/arbutusladder/events.py
+++ b/arbutusladder/events.py
@@ -200,6 +200,28 @@
     "it counted as ended {seconds:.3f} s before: {cause}, incarnation {former}, order "
     "without an answer: {unanswered}",
 )
+TASKS_MAY_START_AGAIN = Event(
+    483,
+    Level.INFO,
+    "{runs} runs on worker {worker}, incarnation {born}, have ended or never begin, "
+    "and their tasks may start again: {proof}, evidence of up to {age:.3f} s before; "
+    "task:run(its incarnation, ? for an order in doubt) {named}",
+)
+INHERITED_JOBS_UNBLOCKED = Event(
+    484,
+    Level.INFO,
+    "inherited jobs do not wait for worker {worker} any more: {proof}, evidence of "
+    "{age:.3f} s before; {jobs} of them may start, {awaited} other workers are "
+    "waited for; {named}",
+)
+START_WITHOUT_PROOF = Event(
+    485,
+    Level.ERROR,
+    "does not start task {task} on worker {worker}: nothing shows that these runs of "
+    "it, run@worker, have ended: {runs}",
+    "report it with the log of this entry VM; the task starts once the worker lists "
+    "the end of the run, or under another owner",
+)
 WORKER_INCARNATION_BEGAN = Event(
     474,
     Level.WARNING,
@@ -238,7 +260,7 @@
     Level.INFO,
     "step {step} started {tasks} tasks, first known {seconds:.3f} s before; "
     "{waiting} steps waited; index:run@worker {placed}; waited for {waits}; "
-    "jobs known as of {view:.3f} s before",
+    "jobs known as of {view:.3f} s before; earlier runs {earlier}",
 )
 OWNER_LOAD = Event(
     469,
