--- a/tests/cell/test_unseenrestart.py
+++ b/tests/cell/test_unseenrestart.py
@@ -11,7 +11,7 @@
 from tests.cell import explorefaults as faults
 from tests.cell import explorehostile, exploreworkers, workloads
 from tests.cell.explorehostile import HostileCell
-from tests.cell.exploreplan import QUEUE, WORKER_CORES, Plan
+from tests.cell.exploreplan import LONG_RUN_S, QUEUE, WORKER_CORES, Plan
 from tests.cell.explorerules import RuleChecker
 from tests.cell.exploretickets import add_tickets
 from tests.cell.repeatable import run_repeatably
@@ -25,7 +25,7 @@
 class Scenario:
     """Three entry VMs, two workers and one task that outlasts the leases."""
 
-    def __init__(self, max_lease_s, tickets=False):
+    def __init__(self, max_lease_s, tickets=False, long_run_s=LONG_RUN_S):
         step = StepSpec(1, Resources(WORKER_CORES, 1000.0), 1.0)
         job = workloads.job(1, QUEUE, step)
         workers = tuple(entry.vm for entry in workloads.workers(2))
@@ -34,6 +34,7 @@
             widened=True,
             max_lease_s=max_lease_s,
             long_share=1.0,
+            long_run_s=long_run_s,
         )
         if tickets:
             plan = add_tickets(plan)
