Wait for the longest lease of a worker that nobody has heard after a takeover

A task ran on a worker behind a cut and on another one (TWICE): an inherited task started 8.3 s after the takeover, while a worker that had restarted before it held a lease of 10 s.

Cause: the successor counted the lease that its predecessor grants, 5 s. That holds on an incarnation by whose clock the deadline was set. If the worker has restarted, and neither the registry shows it nor the predecessor has heard it, an order in time with a deadline by the former clock gives it the longest lease that it accepts.

Change: the successor waits 3.0 s and the longest lease for each worker without a report, 9.3 s at 6 s and 13.4 s at 10 s instead of 8.3 s. Workers that report are waited for as before, and so are those that the claim lists as silent.

Measured: test_order_in_time, 4 of 4 plays with a longest lease of 10 s broke TWICE before, with and without tickets; none of 8 does now.

--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -307,7 +307,10 @@
 
     @property
     def _max_lease_s(self) -> float:
-        """Seconds after which the leases of an owner replaced now have ended."""
+        """Seconds after which the leases of an owner replaced now have ended.
+
+        They are leases by the clock of an incarnation that has answered it.
+        """
         return PREDECESSOR_RENEWAL_WINDOW_S + self._lease_end_s
 
     @property
@@ -503,8 +506,14 @@
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
     def _predecessor_leases_end_at(self, vm: VmId, now: float) -> float:
-        """Returns the monotonic time in seconds at which a predecessor's leases end."""
-        return max(now + self._max_lease_s, self._former_calls_end_at(vm, now))
+        """Returns the monotonic time in seconds at which a predecessor's leases end.
+
+        The worker may have restarted unseen. Calls for the clock of its former
+        incarnation give it the longest lease.
+        """
+        calls_end_at = now + PREDECESSOR_RENEWAL_WINDOW_S
+        leases_end_at = calls_end_at + longest_lease_s(self.state.max_lease_s)
+        return max(leases_end_at, self._former_calls_end_at(vm, now))
 
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
