Wait for late calls to a worker that nobody has heard after a takeover

A task ran on a worker behind a cut and on another one (TWICE). The worker executed an order of a killed owner 9 s late, by an incarnation that had begun meanwhile, or extended its leases by a late renewal.

Cause: a call without an answer may be executed up to 12 s after it was sent, by an incarnation that begins within this time. An owner waits for that on a silent worker. Its successor did so only if the registry showed the next incarnation or the claim listed the worker with an order in doubt; the claim does not contain the orders of the last second.

Change: the successor waits 12 s longer for each worker without a report, 21.3 s at a longest lease of 6 s and 25.4 s at 10 s. A claim that lists a silent worker with a run that is not confirmed lists the same time, since the worker may answer after the claim and get further calls. Workers that report, and listed ones whose runs are all confirmed, are waited for as before. The claim's confirmed restarts count for listed workers only: another one may restart again.

--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -20,7 +20,7 @@
 from arbutusladder.cell.advicedispatcher import AdviceDispatcher
 from arbutusladder.cell.appender import OWNER_SLOW_APPEND_S, SLOW_APPEND_S
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.claims import FIRST_EPOCH
+from arbutusladder.cell.claims import FIRST_EPOCH, PREDECESSOR_RENEWAL_WINDOW_S
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.fencing import fencing_token
 from arbutusladder.cell.forecast.startforecast import start_forecast
@@ -85,9 +85,6 @@
 EVENT_BATCHING_DELAY_S = 0.005
 # Repeats of a start order that gets no answer, each after the timeout of an order.
 MAX_START_REPEATS = 4
-# Seconds for which a replaced owner may go on starting tasks and extending leases
-# before it detects that it was replaced.
-PREDECESSOR_RENEWAL_WINDOW_S = 3.0
 
 
 class Owner:
@@ -475,7 +472,7 @@
         # accepted now.
         self._await_reports(now)
         for worker in self.state.worker_by_vm.values():
-            worker.assume_lease(self._predecessor_leases_end_at(worker.entry.vm, now))
+            worker.assume_lease(self._predecessor_leases_end_at(now))
         self._taken_over_at = now
         await self._lease_renewer.start_renewals()
         self._dependencies.journal.write(
@@ -495,7 +492,7 @@
             has_predecessor = self.epoch > FIRST_EPOCH
             vms = frozenset(self.state.worker_by_vm if has_predecessor else ())
         for vm in vms.union(map(VmId, self._claim.silent_workers)):
-            unreported.add(vm, self._predecessor_leases_end_at(vm, now))
+            unreported.add(vm, self._predecessor_leases_end_at(now))
         for row in self._claim.silent:
             # A lease that was not extended has also run since the claim was renewed.
             age_s = 0.0 if row.is_extended else self._claim_age_s
@@ -505,15 +502,13 @@
         unreported.remove_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
-    def _predecessor_leases_end_at(self, vm: VmId, now: float) -> float:
+    def _predecessor_leases_end_at(self, now: float) -> float:
         """Returns the monotonic time in seconds at which a predecessor's leases end.
 
-        The worker may have restarted unseen. Calls for the clock of its former
-        incarnation give it the longest lease.
+        The worker may have restarted unseen, or restart later. Calls for the clock of
+        its former incarnation, also late ones, give it the longest lease.
         """
-        calls_end_at = now + PREDECESSOR_RENEWAL_WINDOW_S
-        leases_end_at = calls_end_at + longest_lease_s(self.state.max_lease_s)
-        return max(leases_end_at, self._former_calls_end_at(vm, now))
+        return now + claimlists.calls_end_s(self.state)
 
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
