Count the entry VMs of the predecessor's claim until a new owner has heard them

A replaced owner went on extending a lease, and the task ran twice (TestOwnerThatKnowsNoOtherEntryVm). An entry VM had started anew, claimed the cell under its own name at once and was cut off from the log and the others before it had heard any of them, and took itself for the whole cell.

Change: a claim states how many other entry VMs its owner counts. A successor counts at least as many for 30 s, as an owner that loses sight of others does, and at least one from then on if there ever was another. So its evidence has to come from the log or from a majority of the cell. A cell of a single entry VM works as before, and so does a new owner whose log answers.

Tests of the count: TestCount in test_memberregistry.

--- a/arbutusladder/cell/claimmanager.py
+++ b/arbutusladder/cell/claimmanager.py
@@ -279,6 +279,7 @@
             [row.vm for row in silent],
             silent,
             owner.confirmed_restarts(),
+            owner.count_other_vms(),
         )
 
     async def _run_owner(self, owner: Owner) -> None:
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -170,6 +170,7 @@
             silent_workers=silent_workers,
             silent=silent,
             restarted=list(self.claim.restarted) if self.claim else [],
+            other_vms=self.claim.other_vms if self.claim else 0,
         )
 
 
--- a/arbutusladder/cell/memberregistry.py
+++ b/arbutusladder/cell/memberregistry.py
@@ -5,6 +5,7 @@
 to all hellos would otherwise have a size of N squared.
 """
 
+import math
 from dataclasses import dataclass
 
 from arbutusladder.ids import Epoch, VmId
@@ -35,13 +36,23 @@
     Args:
         own_entry: The owner's entry VM, which every list contains.
         epoch: Epoch of the owner.
+        other_vms: Number of entry VMs of the cell that its predecessor knew.
+        began_at: Monotonic time in seconds at which it became the owner.
     """
 
-    def __init__(self, own_entry: EntryVm, epoch: Epoch):
+    def __init__(
+        self,
+        own_entry: EntryVm,
+        epoch: Epoch,
+        other_vms: int = 0,
+        began_at: float = -math.inf,
+    ):
         self._listed_by_vm: dict[VmId, EntryVm] = {}
         self._own_entry = own_entry
         self._epoch = epoch
         self._number = 0
+        self._inherited_count = other_vms
+        self._began_at = began_at
         self._member_by_vm: dict[VmId, _Member] = {}
 
     @property
@@ -52,8 +63,9 @@
     def count(self, now: float) -> int:
         """Returns the number of entry VMs of the cell, without the owner.
 
-        It is at least 1 once another one has announced itself: an owner that hears
-        nobody must not take itself for the whole cell.
+        It is at least 1 once another one has announced itself, also to a predecessor:
+        an owner that hears nobody must not take itself for the whole cell. A new owner
+        may not have heard all of them.
 
         Args:
             now: Monotonic time in seconds.
@@ -61,7 +73,9 @@
         oldest = now - MEMBERSHIP_TIMEOUT_S
         members = self._member_by_vm.values()
         count = sum(row.hello_at > oldest for row in members)
-        return max(count, min(1, len(members)))
+        if self._began_at > oldest:
+            count = max(count, self._inherited_count)
+        return max(count, min(1, len(members) + self._inherited_count))
 
     def add(self, entry: EntryVm, now: float) -> None:
         """Adds an entry VM or records that it is active.
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -180,7 +180,9 @@
             dependencies.settings.drain_limit_s,
         )
         self._is_view_recent = True
-        self._members = MemberRegistry(member.own_entry(), claim.epoch)
+        self._members = MemberRegistry(
+            member.own_entry(), claim.epoch, claim.other_vms, now
+        )
         self.advice_dispatcher = AdviceDispatcher(
             member.vm,
             claim.epoch,
@@ -555,7 +557,7 @@
         recent = self._freshness.is_recent(
             self._clock.now_with_suspensions(),
             not self._member.log.forwarding,
-            self._count_other_vms,
+            self.count_other_vms,
         )
         if not recent:
             self._member.read_jobs_soon()
@@ -578,7 +580,7 @@
         """Returns whether leases may be extended and tasks be stopped now."""
         if self.ended:
             return False
-        confirmed = self.evidence.is_valid(self._count_other_vms)
+        confirmed = self.evidence.is_valid(self.count_other_vms)
         if confirmed != self._is_confirmed:
             self._is_confirmed = confirmed
             self._dependencies.metrics.count("owner.confirmation_changes")
@@ -588,11 +590,12 @@
             self._dependencies.journal.write(
                 event,
                 epoch=self.epoch,
-                seconds=self.evidence.age_s(self._count_other_vms()),
+                seconds=self.evidence.age_s(self.count_other_vms()),
             )
         return confirmed
 
-    def _count_other_vms(self) -> int:
+    def count_other_vms(self) -> int:
+        """Returns the number of entry VMs of the cell, without this one."""
         return self._members.count(self._clock.now())
 
     async def flush_changes(self) -> None:
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -143,6 +143,10 @@
     """
     Workers that have restarted a short time ago and on which no call to a former incarnation can take effect any more.
     """
+    other_vms: int = 0
+    """
+    Number of the entry VMs of the cell without the owner, so that a successor which has heard none of them does not take itself for the whole cell.
+    """
 
 
 @dataclass
--- a/tests/cell/test_claimmanager.py
+++ b/tests/cell/test_claimmanager.py
@@ -50,6 +50,9 @@
     def confirmed_restarts(self):
         return []
 
+    def count_other_vms(self):
+        return 2
+
     def workers_to_record(self):
         return self.workers
 
--- a/tests/cell/test_memberregistry.py
+++ b/tests/cell/test_memberregistry.py
@@ -1,6 +1,10 @@
 """Tests of the list of entry VMs that the owner distributes."""
 
-from arbutusladder.cell.memberregistry import MEMBER_TIMEOUT_S, MemberRegistry
+from arbutusladder.cell.memberregistry import (
+    MEMBER_TIMEOUT_S,
+    MEMBERSHIP_TIMEOUT_S,
+    MemberRegistry,
+)
 from arbutusladder.messages import EntryVm, MemberHello
 
 OWN_ENTRY = EntryVm("owner", "a:1")
@@ -86,3 +90,26 @@
         new.version_by_vm = dict(old.version_by_vm)
         new.say_hello(entry, 0.1)
         assert new.rows_sent == 2
+
+
+class TestCount:
+    """Pattern: a process starts anew and becomes the owner before it hears others."""
+
+    def test_entry_vms_of_the_predecessor_count(self):
+        """Guards against an owner that takes those it has heard for the whole cell."""
+        (entry,) = entry_vms(1)
+        registry = MemberRegistry(OWN_ENTRY, 2, other_vms=7, began_at=100.0)
+        assert registry.count(100.0) == 7
+        registry.add(entry, 101.0)
+        assert registry.count(101.0) == 7
+        registry.add(entry, 129.0)
+        assert registry.count(100.1 + MEMBERSHIP_TIMEOUT_S) == 1
+
+    def test_an_owner_that_hears_nobody_is_not_the_whole_cell(self):
+        """Guards against an isolated owner that goes on after a while."""
+        registry = MemberRegistry(OWN_ENTRY, 2, other_vms=7, began_at=100.0)
+        assert registry.count(1000.0) == 1
+
+    def test_single_entry_vm_needs_no_other(self):
+        """Guards against a cell of one entry VM that stands still without the log."""
+        assert MemberRegistry(OWN_ENTRY, 2, 0, 100.0).count(100.0) == 0
