--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -20,7 +20,7 @@
 from arbutusladder.cell.advicedispatcher import AdviceDispatcher
 from arbutusladder.cell.appender import OWNER_SLOW_APPEND_S, SLOW_APPEND_S
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.claims import FIRST_EPOCH
+from arbutusladder.cell.claims import FIRST_EPOCH, PREDECESSOR_RENEWAL_WINDOW_S
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.fencing import fencing_token
 from arbutusladder.cell.forecast.startforecast import start_forecast
@@ -85,9 +85,6 @@
 EVENT_BATCHING_DELAY_S = 0.005
 # Repeats of a start order that gets no answer, each after the timeout of an order.
 MAX_START_REPEATS = 4
-# Seconds for which a replaced owner may go on starting tasks and extending leases
-# before it detects that it was replaced.
-PREDECESSOR_RENEWAL_WINDOW_S = 3.0
 
 
 class Owner:
@@ -183,7 +180,9 @@
             dependencies.settings.drain_limit_s,
         )
         self._is_view_recent = True
-        self._members = MemberRegistry(member.own_entry(), claim.epoch)
+        self._members = MemberRegistry(
+            member.own_entry(), claim.epoch, claim.other_vms, now
+        )
         self.advice_dispatcher = AdviceDispatcher(
             member.vm,
             claim.epoch,
@@ -307,7 +306,10 @@
 
     @property
     def _max_lease_s(self) -> float:
-        """Seconds after which the leases of an owner replaced now have ended."""
+        """Seconds after which the leases of an owner replaced now have ended.
+
+        They are leases by the clock of an incarnation that has answered it.
+        """
         return PREDECESSOR_RENEWAL_WINDOW_S + self._lease_end_s
 
     @property
@@ -472,7 +474,7 @@
         # accepted now.
         self._await_reports(now)
         for worker in self.state.worker_by_vm.values():
-            worker.assume_lease(self._predecessor_leases_end_at(worker.entry.vm, now))
+            worker.assume_lease(self._predecessor_leases_end_at(now))
         self._taken_over_at = now
         await self._lease_renewer.start_renewals()
         self._dependencies.journal.write(
@@ -492,7 +494,7 @@
             has_predecessor = self.epoch > FIRST_EPOCH
             vms = frozenset(self.state.worker_by_vm if has_predecessor else ())
         for vm in vms.union(map(VmId, self._claim.silent_workers)):
-            unreported.add(vm, self._predecessor_leases_end_at(vm, now))
+            unreported.add(vm, self._predecessor_leases_end_at(now))
         for row in self._claim.silent:
             # A lease that was not extended has also run since the claim was renewed.
             age_s = 0.0 if row.is_extended else self._claim_age_s
@@ -502,9 +504,13 @@
         self.state.stop_awaiting_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
-    def _predecessor_leases_end_at(self, vm: VmId, now: float) -> float:
-        """Returns the monotonic time in seconds at which a predecessor's leases end."""
-        return max(now + self._max_lease_s, self._former_calls_end_at(vm, now))
+    def _predecessor_leases_end_at(self, now: float) -> float:
+        """Returns the monotonic time in seconds at which a predecessor's leases end.
+
+        The worker may have restarted unseen, or restart later. Calls for the clock of
+        its former incarnation, also late ones, give it the longest lease.
+        """
+        return now + claimlists.calls_end_s(self.state)
 
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
@@ -551,7 +557,7 @@
         recent = self._freshness.is_recent(
             self._clock.now_with_suspensions(),
             not self._member.log.forwarding,
-            self._count_other_vms,
+            self.count_other_vms,
         )
         if not recent:
             self._member.read_jobs_soon()
@@ -574,7 +580,7 @@
         """Returns whether leases may be extended and tasks be stopped now."""
         if self.ended:
             return False
-        confirmed = self.evidence.is_valid(self._count_other_vms)
+        confirmed = self.evidence.is_valid(self.count_other_vms)
         if confirmed != self._is_confirmed:
             self._is_confirmed = confirmed
             self._dependencies.metrics.count("owner.confirmation_changes")
@@ -584,11 +590,12 @@
             self._dependencies.journal.write(
                 event,
                 epoch=self.epoch,
-                seconds=self.evidence.age_s(self._count_other_vms()),
+                seconds=self.evidence.age_s(self.count_other_vms()),
             )
         return confirmed
 
-    def _count_other_vms(self) -> int:
+    def count_other_vms(self) -> int:
+        """Returns the number of entry VMs of the cell, without this one."""
         return self._members.count(self._clock.now())
 
     async def flush_changes(self) -> None:
