--- a/tests/cell/test_returningworker.py
+++ b/tests/cell/test_returningworker.py
@@ -7,12 +7,15 @@
 import pytest
 
 from tests.cell import explorefaults as faults
-from tests.cell import explorehostile, exploreworkers
-from tests.cell.test_unseenrestart import play
+from tests.cell import explorehostile, exploreworkers, test_unseenrestart
 
-# Seconds after which a late call is executed, and how far the clock of the next
-# incarnation is behind.
-LATE_S = 8.8
+# Seconds after which a late call is executed: of the owner, and of one that is killed,
+# once its successor has forgotten the worker.
+LATE_S, PREDECESSOR_LATE_S = 9.0, 11.4
+# Seconds after which calls that were sent before the start have been executed.
+AGE_S = 30.0
+PLAY_S = 60.0
+# How far the clock of the next incarnation is behind.
 CLOCK_STEP_S = 50.0
 
 
@@ -23,15 +26,11 @@
     has answered a call, and extends its leases to the longest one.
     """
 
-    async def script(self, scenario):
+    async def play_late_renewal(self, scenario, late_s, is_killed):
         """Cuts the worker off again as soon as it has accepted the order."""
-        with mock.patch.object(explorehostile, "LATE_CALL_S", (LATE_S, LATE_S)):
-            await self.play_late_renewal(scenario)
-
-    async def play_late_renewal(self, scenario):
-        """Plays it with late calls that are executed after that time."""
         cell = scenario.cell
         first, second = cell.worker_by_vm.values()
+        await curio.sleep(AGE_S)
         scenario.inject(faults.WorkerCut, second)
         scenario.inject(faults.CallsLate, first, share=1.0, kinds=("renew",))
         await scenario.wait_for_poll(first)
@@ -39,7 +38,9 @@
         cell.faults.faults.pop()
         scenario.inject(faults.WorkerCut, first, registry=True)
         first.crash()
-        await scenario.wait_until(sent_at + LATE_S - 0.5)
+        if is_killed:
+            cell.kill(cell.owner_vm)
+        await scenario.wait_until(sent_at + late_s - 0.5)
         await cell.restart_worker(first.name)
         while first._lease_end is None:
             await curio.sleep(0.005)
@@ -51,13 +52,31 @@
         cell.faults.faults.clear()
         scenario.inject(faults.WorkerCut, first, registry=True)
 
-    @pytest.mark.parametrize("tickets", [False, True])
-    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
-    def test_task_does_not_run_twice(self, max_lease_s, tickets):
-        """Guards against leases that are counted as if no call had been under way."""
+    def broken_rules(self, max_lease_s, tickets, late_s, is_killed=False):
+        """Plays it with a renewal that is executed after a time."""
+
+        async def script(scenario):
+            late = (late_s, late_s)
+            with mock.patch.object(explorehostile, "LATE_CALL_S", late):
+                await self.play_late_renewal(scenario, late_s, is_killed)
+
         step = (CLOCK_STEP_S, CLOCK_STEP_S)
         with (
             mock.patch.object(explorehostile, "REGISTER_S", 0.0),
             mock.patch.object(exploreworkers, "CLOCK_STEP_S", step),
+            mock.patch.object(test_unseenrestart, "PLAY_S", PLAY_S),
         ):
-            assert play(self.script, max_lease_s, tickets) == []
+            return test_unseenrestart.play(script, max_lease_s, tickets)
+
+    @pytest.mark.parametrize("tickets", [False, True])
+    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
+    def test_late_renewal_of_the_owner(self, max_lease_s, tickets):
+        """Guards against leases that are counted as if no call had been under way."""
+        assert self.broken_rules(max_lease_s, tickets, LATE_S) == []
+
+    @pytest.mark.parametrize("tickets", [False, True])
+    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
+    def test_late_renewal_of_a_predecessor(self, max_lease_s, tickets):
+        """Guards against leases that a successor does not expect any more."""
+        late_s = PREDECESSOR_LATE_S
+        assert self.broken_rules(max_lease_s, tickets, late_s, True) == []
--- a/tests/cell/test_unseenrestart.py
+++ b/tests/cell/test_unseenrestart.py
@@ -42,10 +42,10 @@
         self.cell = HostileCell(plan, self.checker)
 
     async def submit(self):
-        """Submits the job."""
+        """Submits the job at the first entry VM that runs."""
         self.checker.record_submission(self._job.job_id)
-        member = self.cell.member_by_vm["a"]
-        await self.cell.call("a", member.submit, self._job, Clock().now() + 3.0)
+        vm, member = next(iter(self.cell.member_by_vm.items()))
+        await self.cell.call(vm, member.submit, self._job, Clock().now() + 3.0)
 
     async def wait_for_order(self):
         """Returns the worker of the first order for the task, and when it was sent."""
