Forget a worker only once no call can extend the leases of its next incarnation

A worker without runs was forgotten with its leases, 5 to 6 s after the last renewal, while calls may be executed until 12 s after they were sent.

Worker.is_forgettable waits besides until 12 s after the newest call with a deadline and the longest lease.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -196,7 +196,7 @@
             if vm not in entry_by_vm:
                 worker.registered = False
                 is_used = worker.run_by_key or self.unsettled.on_worker(vm)
-                if not is_used and worker.leases_expired(now):
+                if not is_used and worker.is_forgettable(now, self.max_lease_s):
                     self._forget_worker(worker)
 
     def begin_incarnation(
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -325,6 +325,18 @@
         """Returns whether every granted lease has ended, even on the slowest clock."""
         return self.own_leases_expired(now) and now > self._inherited_leases_expire_at
 
+    def is_forgettable(self, now: float, max_lease_s: float) -> bool:
+        """Returns whether no lease depends on what is known of the worker.
+
+        Its next incarnation may execute a late call, which gives it the longest lease.
+
+        Args:
+            now: Monotonic time in seconds.
+            max_lease_s: Longest lease in seconds that a worker accepts.
+        """
+        calls_end_at = self._called_at + latest_order_end_s(max_lease_s)
+        return self.leases_expired(now) and now > calls_end_at
+
     def lease_s_left(self, now: float) -> float:
         """Returns the seconds until every lease has ended, for the event log."""
         own = self._leases_expire_at or -math.inf
