Tests that fail: a late entry of a former incarnation with a later start time

The wall clock of a worker may be set back between two incarnations, and a write to the store may be carried out seconds late. If the entry of the former incarnation is read after the present one has been heard, and the owner does not know the former one (after a takeover, or after it has forgotten the worker), its start time counts as the newest. Worker.is_next_incarnation then drops each report of the present incarnation, since its start time is among the former ones, also those that were requested after the entry was read. The worker is neither silent nor responsive: it gets no lease and no task, and its runs never count as ended.

--- a/tests/cell/test_returningworker.py
+++ b/tests/cell/test_returningworker.py
@@ -8,6 +8,7 @@
 
 from tests.cell import explorefaults as faults
 from tests.cell import explorehostile, exploreworkers, test_unseenrestart
+from tests.cell.test_restartedworker import NEW, NOW, OLD, RestartingWorker
 
 # Seconds after which a late call is executed: of the owner, and of one that is killed,
 # once its successor has forgotten the worker.
@@ -80,3 +81,29 @@
         """Guards against leases that a successor does not expect any more."""
         late_s = PREDECESSOR_LATE_S
         assert self.broken_rules(max_lease_s, tickets, late_s, True) == []
+
+
+class TestEntryOfAFormerIncarnation:
+    """Pattern: the wall clock of a worker was set back before its restart.
+
+    Its former incarnation, which the owner has not known or has forgotten, has the
+    later start time. Its entry is written late.
+    """
+
+    def test_present_incarnation_is_heard_again(self):
+        """Guards against reports that are dropped for good."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 1.0)
+        cell.report(OLD, NOW + 1.5)
+        cell.register(OLD, NOW + 2.0)
+        cell.report(OLD, NOW + 2.5)
+        assert cell.worker.born == OLD
+        assert cell.state.accepts_tasks(cell.worker, NOW + 2.6)
+
+    def test_former_entry_does_not_count_again(self):
+        """Guards against a worker that restarts with each read of the registry."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 1.0)
+        cell.report(OLD, NOW + 1.5)
+        cell.register(NEW, NOW + 2.0)
+        assert cell.worker.born == OLD
