Expect leases by former calls on workers that are registered after the takeover

A worker that is created when its entry appears got the leases for which the takeover still waits, and else none, so a renewal or an order of a predecessor that its new incarnation had executed did not count.

CellState.update_registry assumes them as the takeover does for the workers that it knows: by the start time in the entry, and until 12 s from now and the longest lease besides at most, which bounds what an entry with a start time in the future can do. The first report limits them as before.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -33,7 +33,12 @@
 from arbutusladder.cell.teamusage.ledger import TeamLedger
 from arbutusladder.cell.unreported import UnreportedWorkers
 from arbutusladder.cell.unsettledruns import UnsettledRuns
-from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, Worker, longest_lease_s
+from arbutusladder.cell.workers import (
+    MAX_ORDER_DELAY_S,
+    Worker,
+    latest_order_end_s,
+    longest_lease_s,
+)
 from arbutusladder.cell.workerselection import needs_advice
 from arbutusladder.errors import JobTooLarge
 from arbutusladder.events import Event
@@ -186,8 +191,15 @@
                 worker = self.worker_by_vm[vm] = Worker.create(entry)
                 worker.born_known_at = now
                 worker.token_number = self._token_number_by_vm.pop(vm, 0)
-                # Its entry may have been missing at the takeover.
-                worker.assume_lease(self.unreported.leases_end_at(vm))
+                # Its entry may have been missing at the takeover, or since. Calls that
+                # were sent before may have given this incarnation a lease.
+                calls_end_at = min(
+                    self.former_calls_end_at(worker),
+                    now + latest_order_end_s(self.max_lease_s),
+                )
+                worker.assume_lease(
+                    max(self.unreported.leases_end_at(vm), calls_end_at)
+                )
             elif entry.born >= worker.born and entry.born not in worker.former_borns:
                 if entry.born > worker.born:
                     self.begin_incarnation(worker, entry.born, now, "registry")
