List and expect the longest lease of a restart that only the predecessor has heard

The claim lists a silent worker with the leases that its owner knows of, and not only with those of calls to former incarnations (claimlists._wait_s). A successor waits for the longest lease on each worker whose restart the claim lists, whatever incarnation the registry shows, or if it shows none (Owner._former_calls_end_at).

--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -72,7 +72,8 @@
     """
     runs = [*worker.run_by_key.values(), *cell.unsettled.on_worker(worker.entry.vm)]
     ends_at = (worker.calls_end_at(run, cell.max_lease_s) for run in runs)
-    return max(lease_s, max(ends_at, default=now) - now)
+    calls_s = max(ends_at, default=now) - now
+    return max(lease_s, worker.lease_s_left(now), calls_s)
 
 
 def confirmed_restarts(cell: CellState, now: float) -> list[WorkerIncarnation]:
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -510,16 +510,18 @@
         """Returns when leases by calls to former incarnations of a worker have ended.
 
         If the predecessor has listed the present incarnation as confirmed, no such call
-        was executed after it made its claim.
+        was executed after it made its claim. It may have heard one that the registry
+        does not show.
         """
         worker = self.state.worker_by_vm.get(vm)
-        if worker is None:
-            return now
-        ends_at = self.state.former_calls_end_at(worker)
-        if WorkerIncarnation(vm, worker.born) in self._claim.restarted:
-            longest_s = longest_lease_s(self.state.max_lease_s)
-            ends_at = min(ends_at, now + longest_s)
-        return ends_at
+        ends_at = self.state.former_calls_end_at(worker) if worker else now
+        born_by_vm = {row.vm: row.born for row in self._claim.restarted}
+        if vm not in born_by_vm:
+            return ends_at
+        longest_end = now + longest_lease_s(self.state.max_lease_s)
+        if worker and worker.born == born_by_vm[vm]:
+            return min(ends_at, longest_end)
+        return max(ends_at, longest_end)
 
     def _track_job(self, job_id: JobId, now: float, inherited: bool) -> None:
         track_job(self.state, self._member.table, job_id, now, inherited)
