Test that fails: the same if the predecessor has not heard the restart either

The successor waits 3.0 s and the lease that the predecessor grants, and not the longest one that a worker accepts.

--- a/tests/cell/test_unregisteredrestart.py
+++ b/tests/cell/test_unregisteredrestart.py
@@ -26,8 +26,8 @@
     the longest lease, and accepts an order. It is heard and cut off.
     """
 
-    def broken_rules(self, max_lease_s, killed_after_s):
-        """Plays it, and kills the owner some seconds after the order."""
+    def broken_rules(self, max_lease_s, killed_after_s, is_heard=True):
+        """Plays it, and kills the owner some seconds after the report or the order."""
 
         async def script(scenario):
             cell = scenario.cell
@@ -49,7 +49,8 @@
             assert worker is first
             await curio.sleep(0.05)
             first.running[test_unseenrestart.TASK, 1].ends_at += RUN_S
-            while not owner.state.worker_by_vm[first.name].restart_confirmed:
+            known = owner.state.worker_by_vm[first.name]
+            while is_heard and not known.restart_confirmed:
                 await curio.sleep(0.005)
             cell.faults.faults.clear()
             scenario.inject(faults.WorkerCut, first, registry=True)
@@ -75,3 +76,9 @@
     def test_task_does_not_run_twice(self, max_lease_s, killed_after_s):
         """Guards against a successor that expects a lease of the usual length."""
         assert self.broken_rules(max_lease_s, killed_after_s) == []
+
+    @pytest.mark.parametrize("killed_after_s", [SOON_S, LATER_S])
+    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0, 20.0])
+    def test_restart_that_nobody_has_heard(self, max_lease_s, killed_after_s):
+        """Guards against the same if the predecessor has not heard it either."""
+        assert self.broken_rules(max_lease_s, killed_after_s, is_heard=False) == []
