--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -77,7 +77,7 @@
     runs = [*worker.run_by_key.values(), *cell.unsettled.on_worker(worker.entry.vm)]
     if any(worker.calls_end_at(run, cell.max_lease_s) > now for run in runs):
         return calls_end_s(cell)
-    return lease_s
+    return max(lease_s, worker.lease_s_left(now))
 
 
 def calls_end_s(cell: CellState) -> float:
--- /dev/null
+++ b/tests/cell/test_returningworker.py
@@ -0,0 +1,109 @@
+"""Tests of workers that are forgotten, and return while former calls may arrive."""
+
+import time
+from unittest import mock
+
+import curio
+import pytest
+
+from tests.cell import explorefaults as faults
+from tests.cell import explorehostile, exploreworkers, test_unseenrestart
+from tests.cell.test_restartedworker import NEW, NOW, OLD, RestartingWorker
+
+# Seconds after which a late call is executed: of the owner, and of one that is killed,
+# once its successor has forgotten the worker.
+LATE_S, PREDECESSOR_LATE_S = 9.0, 11.4
+# Seconds after which calls that were sent before the start have been executed.
+AGE_S = 30.0
+PLAY_S = 60.0
+# How far the clock of the next incarnation is behind.
+CLOCK_STEP_S = 50.0
+
+
+class TestForgottenWorker:
+    """Pattern: a worker is down until it is forgotten, and returns under its id.
+
+    The last renewal for the former incarnation is executed by the next one, before this
+    has answered a call, and extends its leases to the longest one.
+    """
+
+    async def play_late_renewal(self, scenario, late_s, is_killed):
+        """Cuts the worker off again as soon as it has accepted the order."""
+        cell = scenario.cell
+        first, second = cell.worker_by_vm.values()
+        await curio.sleep(AGE_S)
+        scenario.inject(faults.WorkerCut, second)
+        scenario.inject(faults.CallsLate, first, share=1.0, kinds=("renew",))
+        await scenario.wait_for_poll(first)
+        sent_at = time.monotonic()
+        cell.faults.faults.pop()
+        scenario.inject(faults.WorkerCut, first, registry=True)
+        first.crash()
+        if is_killed:
+            cell.kill(cell.owner_vm)
+        await scenario.wait_until(sent_at + late_s - 0.5)
+        await cell.restart_worker(first.name)
+        while first._lease_end is None:
+            await curio.sleep(0.005)
+        cell.faults.faults.pop()
+        await scenario.submit()
+        worker, ordered_at = await scenario.wait_for_order()
+        assert worker is first
+        await scenario.wait_until(ordered_at + 0.2)
+        cell.faults.faults.clear()
+        scenario.inject(faults.WorkerCut, first, registry=True)
+
+    def broken_rules(self, max_lease_s, tickets, late_s, is_killed=False):
+        """Plays it with a renewal that is executed after a time."""
+
+        async def script(scenario):
+            late = (late_s, late_s)
+            with mock.patch.object(explorehostile, "LATE_CALL_S", late):
+                await self.play_late_renewal(scenario, late_s, is_killed)
+
+        step = (CLOCK_STEP_S, CLOCK_STEP_S)
+        with (
+            mock.patch.object(explorehostile, "REGISTER_S", 0.0),
+            mock.patch.object(exploreworkers, "CLOCK_STEP_S", step),
+            mock.patch.object(test_unseenrestart, "PLAY_S", PLAY_S),
+        ):
+            return test_unseenrestart.play(script, max_lease_s, tickets)
+
+    @pytest.mark.parametrize("tickets", [False, True])
+    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
+    def test_late_renewal_of_the_owner(self, max_lease_s, tickets):
+        """Guards against leases that are counted as if no call had been under way."""
+        assert self.broken_rules(max_lease_s, tickets, LATE_S) == []
+
+    @pytest.mark.parametrize("tickets", [False, True])
+    @pytest.mark.parametrize("max_lease_s", [6.0, 10.0])
+    def test_late_renewal_of_a_predecessor(self, max_lease_s, tickets):
+        """Guards against leases that a successor does not expect any more."""
+        late_s = PREDECESSOR_LATE_S
+        assert self.broken_rules(max_lease_s, tickets, late_s, True) == []
+
+
+class TestEntryOfAFormerIncarnation:
+    """Pattern: the wall clock of a worker was set back before its restart.
+
+    Its former incarnation, which the owner has not known or has forgotten, has the
+    later start time. Its entry is written late.
+    """
+
+    def test_present_incarnation_is_heard_again(self):
+        """Guards against reports that are dropped for good."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 1.0)
+        cell.report(OLD, NOW + 1.5)
+        cell.register(OLD, NOW + 2.0)
+        cell.report(OLD, NOW + 2.5)
+        assert cell.worker.born == OLD
+        assert cell.state.accepts_tasks(cell.worker, NOW + 2.6)
+
+    def test_former_entry_does_not_count_again(self):
+        """Guards against a worker that restarts with each read of the registry."""
+        cell = RestartingWorker()
+        cell.register(NEW, NOW + 1.0)
+        cell.report(OLD, NOW + 1.5)
+        cell.register(NEW, NOW + 2.0)
+        assert cell.worker.born == OLD
