--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -3,8 +3,7 @@
 from dataclasses import replace
 
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.claims import PREDECESSOR_RENEWAL_WINDOW_S
-from arbutusladder.cell.workers import Worker, latest_order_end_s
+from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
 from arbutusladder.messages import SilentWorker, WorkerIncarnation
 
@@ -65,9 +64,6 @@
 def _wait_s(cell: CellState, worker: Worker, now: float, lease_s: float) -> float:
     """Returns the seconds for which a successor has to wait for a silent worker.
 
-    It may answer and get further calls after this. They extend a run that may be on an
-    incarnation which this owner has not heard.
-
     Args:
         cell: State of the cell.
         worker: The worker.
@@ -75,21 +71,9 @@
         lease_s: Seconds after which a lease ends that this owner may still extend.
     """
     runs = [*worker.run_by_key.values(), *cell.unsettled.on_worker(worker.entry.vm)]
-    if any(worker.calls_end_at(run, cell.max_lease_s) > now for run in runs):
-        return calls_end_s(cell)
-    return max(lease_s, worker.lease_s_left(now))
-
-
-def calls_end_s(cell: CellState) -> float:
-    """Returns the seconds after which calls of an owner replaced now have no effect.
-
-    An incarnation that nobody has heard may execute them late, and be given the longest
-    lease by each of them.
-
-    Args:
-        cell: State of the cell.
-    """
-    return PREDECESSOR_RENEWAL_WINDOW_S + latest_order_end_s(cell.max_lease_s)
+    ends_at = (worker.calls_end_at(run, cell.max_lease_s) for run in runs)
+    calls_s = max(ends_at, default=now) - now
+    return max(lease_s, worker.lease_s_left(now), calls_s)
 
 
 def confirmed_restarts(cell: CellState, now: float) -> list[WorkerIncarnation]:
--- a/arbutusladder/cell/claims.py
+++ b/arbutusladder/cell/claims.py
@@ -25,9 +25,6 @@
 # Seconds without a renewal after which another entry VM may claim: two missed renewals
 # and the calls of the log that read them.
 CLAIM_TIMEOUT_S = 1.1
-# Seconds for which a replaced owner may go on starting tasks and extending leases
-# before it detects that it was replaced.
-PREDECESSOR_RENEWAL_WINDOW_S = 3.0
 # Seconds without a renewal that an entry VM has to observe itself, even if the owner's
 # last heartbeat shows that there was none for longer.
 MIN_OBSERVED_S = 0.5
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -20,7 +20,7 @@
 from arbutusladder.cell.advicedispatcher import AdviceDispatcher
 from arbutusladder.cell.appender import OWNER_SLOW_APPEND_S, SLOW_APPEND_S
 from arbutusladder.cell.cellstate import CellState
-from arbutusladder.cell.claims import FIRST_EPOCH, PREDECESSOR_RENEWAL_WINDOW_S
+from arbutusladder.cell.claims import FIRST_EPOCH
 from arbutusladder.cell.confirmation import OwnershipEvidence
 from arbutusladder.cell.fencing import fencing_token
 from arbutusladder.cell.forecast.startforecast import start_forecast
@@ -85,6 +85,9 @@
 EVENT_BATCHING_DELAY_S = 0.005
 # Repeats of a start order that gets no answer, each after the timeout of an order.
 MAX_START_REPEATS = 4
+# Seconds for which a replaced owner may go on starting tasks and extending leases
+# before it detects that it was replaced.
+PREDECESSOR_RENEWAL_WINDOW_S = 3.0
 
 
 class Owner:
@@ -474,7 +477,7 @@
         # accepted now.
         self._await_reports(now)
         for worker in self.state.worker_by_vm.values():
-            worker.assume_lease(self._predecessor_leases_end_at(now))
+            worker.assume_lease(self._predecessor_leases_end_at(worker.entry.vm, now))
         self._taken_over_at = now
         await self._lease_renewer.start_renewals()
         self._dependencies.journal.write(
@@ -494,7 +497,7 @@
             has_predecessor = self.epoch > FIRST_EPOCH
             vms = frozenset(self.state.worker_by_vm if has_predecessor else ())
         for vm in vms.union(map(VmId, self._claim.silent_workers)):
-            unreported.add(vm, self._predecessor_leases_end_at(now))
+            unreported.add(vm, self._predecessor_leases_end_at(vm, now))
         for row in self._claim.silent:
             # A lease that was not extended has also run since the claim was renewed.
             age_s = 0.0 if row.is_extended else self._claim_age_s
@@ -504,28 +507,32 @@
         self.state.stop_awaiting_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
-    def _predecessor_leases_end_at(self, now: float) -> float:
+    def _predecessor_leases_end_at(self, vm: VmId, now: float) -> float:
         """Returns the monotonic time in seconds at which a predecessor's leases end.
 
-        The worker may have restarted unseen, or restart later. Calls for the clock of
-        its former incarnation, also late ones, give it the longest lease.
+        The worker may have restarted unseen. Calls for the clock of its former
+        incarnation give it the longest lease.
         """
-        return now + claimlists.calls_end_s(self.state)
+        calls_end_at = now + PREDECESSOR_RENEWAL_WINDOW_S
+        leases_end_at = calls_end_at + longest_lease_s(self.state.max_lease_s)
+        return max(leases_end_at, self._former_calls_end_at(vm, now))
 
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
 
         If the predecessor has listed the present incarnation as confirmed, no such call
-        was executed after it made its claim.
+        was executed after it made its claim. It may have heard one that the registry
+        does not show.
         """
         worker = self.state.worker_by_vm.get(vm)
-        if worker is None:
-            return now
-        ends_at = self.state.former_calls_end_at(worker)
-        if WorkerIncarnation(vm, worker.born) in self._claim.restarted:
-            longest_s = longest_lease_s(self.state.max_lease_s)
-            ends_at = min(ends_at, now + longest_s)
-        return ends_at
+        ends_at = self.state.former_calls_end_at(worker) if worker else now
+        born_by_vm = {row.vm: row.born for row in self._claim.restarted}
+        if vm not in born_by_vm:
+            return ends_at
+        longest_end = now + longest_lease_s(self.state.max_lease_s)
+        if worker and worker.born == born_by_vm[vm]:
+            return min(ends_at, longest_end)
+        return max(ends_at, longest_end)
 
     def _track_job(self, job_id: JobId, now: float, inherited: bool) -> None:
         track_job(self.state, self._member.table, job_id, now, inherited)
