Wait for late calls of a predecessor in jobs whose tickets do not exclude them

The worker executed an order of a killed owner 9 s late, by an incarnation that had begun meanwhile, or extended its leases by a late renewal.

Cause: a call without an answer may be executed up to 12 s after it was sent, by an incarnation that begins within this time. The successor waited 3.0 s and the longest lease for a worker without a report, which covers calls that are not late.

Change: the successor waits 12 s longer for such a worker, in jobs without tickets and in those whose tickets are valid for more than 2.0 s. An order with a shorter ticket is rejected by the time at which the former wait begins. A claim hands on what is left (`SilentWorker.late_s`), so a second takeover does not start the wait anew.

Jobs with tickets wait as before now, also after a second takeover.

Tickets of the search name their validity of 1.5 s, as the platform's do.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -19,6 +19,9 @@
 OBJECTIVE_ADVICE_WORKERS = 30
 # A job still earns partial credit until this multiple of its time objective.
 LATE_OBJECTIVE_FACTOR = 3.0
+# Longest validity in seconds of a ticket that excludes late orders. A replaced owner
+# sends orders for less than a second, and its successor waits 3.0 s for them.
+MAX_TICKET_VALIDITY_S = 2.0
 
 
 @dataclass(slots=True, eq=False)
@@ -45,6 +48,14 @@
         self.remaining_s_by_step = remaining_s_by_step(self.record)
         self._max_open = self.limits.max_open_occurrences(self.record)
 
+    @property
+    def rejects_late_orders(self) -> bool:
+        """Whether tickets keep an order of a replaced owner from a late execution."""
+        queue = self.record.queue
+        return queue.advice_s > 0 and (
+            0 < queue.advice_validity_s <= MAX_TICKET_VALIDITY_S
+        )
+
     @property
     def is_done(self) -> bool:
         """Whether all occurrences have finished."""
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -493,11 +493,11 @@
         Returns:
             Whether there were any.
         """
-        expired = self.unreported.remove_expired(now, granted)
-        for vm, row in expired.items():
-            evidence = EndEvidence(EndProof.LEASES_ENDED, now, now - row.until)
+        ended = self.unreported.remove_expired(now, granted)
+        for vm, row, ended_at in ended:
+            evidence = EndEvidence(EndProof.LEASES_ENDED, now, now - ended_at)
             self._record_unblocked(vm, row, evidence)
-        return bool(expired)
+        return bool(ended)
 
     def _stop_awaiting(self, vm: VmId, evidence: EndEvidence) -> bool:
         """Stops waiting for a worker; returns whether it was waited for."""
@@ -516,9 +516,13 @@
         is_report = evidence.proof is EndProof.LISTED_ALL
         if is_report and self.unreported.may_run_any:
             return
-        ids = self.job_by_id if row.job_ids is None else sorted(row.job_ids)
-        known = (self.job_by_id.get(job_id) for job_id in ids)
-        jobs = [j for j in known if j and j.inherited and not j.phase.is_final]
+        jobs = [
+            job
+            for job in self.job_by_id.values()
+            if job.inherited
+            and not job.phase.is_final
+            and row.may_run(job.id, job.rejects_late_orders)
+        ]
         unblocked = [job.id for job in jobs if not self.is_blocked(job)]
         if unblocked or (jobs and not is_report):
             self.record_event(
@@ -533,7 +537,9 @@
 
     def is_blocked(self, job: Job) -> bool:
         """Returns whether a predecessor may have started tasks of a job elsewhere."""
-        return job.inherited and self.unreported.may_run(job.id)
+        return job.inherited and self.unreported.may_run(
+            job.id, job.rejects_late_orders
+        )
 
     def accepts_tasks(self, worker: Worker, now: float) -> bool:
         """Returns whether new tasks may start on a worker."""
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -44,7 +45,7 @@
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.runorders import RunOrderSender
 from arbutusladder.cell.states import OrderOutcome
-from arbutusladder.cell.workers import longest_lease_s
+from arbutusladder.cell.workers import latest_order_end_s, longest_lease_s
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import JobId, SeatId, VmId
 from arbutusladder.messages import (
@@ -496,14 +497,19 @@
         if vms is None:
             has_predecessor = self.epoch > FIRST_EPOCH
             vms = frozenset(self.state.worker_by_vm if has_predecessor else ())
+        window_ends_at = now + PREDECESSOR_RENEWAL_WINDOW_S
+        late_until = window_ends_at + latest_order_end_s(self.state.max_lease_s)
         for vm in vms.union(map(VmId, self._claim.silent_workers)):
-            unreported.add(vm, self._predecessor_leases_end_at(vm, now))
+            leases_end_at = self._predecessor_leases_end_at(vm, now)
+            unreported.add(vm, leases_end_at, late_until=late_until)
         for row in self._claim.silent:
             # A lease that was not extended has also run since the claim was renewed.
             age_s = 0.0 if row.is_extended else self._claim_age_s
             until = now + row.lease_s - age_s
             until = max(until, self._former_calls_end_at(row.vm, now))
-            unreported.add(row.vm, until, None if row.any_job else row.job_ids)
+            job_ids = None if row.any_job else row.job_ids
+            late_until = now + row.late_s - age_s if row.late_s else -math.inf
+            unreported.add(row.vm, until, job_ids, late_until)
         self.state.stop_awaiting_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
--- a/tests/cell/exploretickets.py
+++ b/tests/cell/exploretickets.py
@@ -54,5 +54,10 @@
 
 
 def _with_advice(record):
-    terms = replace(record.queue, advice_s=DECISION_S, advice_each_s=EACH_S)
+    terms = replace(
+        record.queue,
+        advice_s=DECISION_S,
+        advice_each_s=EACH_S,
+        advice_validity_s=VALIDITY_S,
+    )
     return replace(record, queue=terms)
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -479,19 +479,29 @@
         assert not owner.state.is_blocked(job)
 
 
+def inherit_job(owner, ticket_validity_s, now):
+    """Returns an inherited job of an owner, with tickets unless the validity is 0."""
+    record = workloads.quote(1)
+    terms = dataclasses.replace(
+        record.queue,
+        advice_s=0.1 if ticket_validity_s else 0.0,
+        advice_validity_s=ticket_validity_s,
+    )
+    record = dataclasses.replace(record, queue=terms)
+    return owner.state.add_job(record, JobProgress(JobPhase.RUNNING), now, True)
+
+
 class TestWorkersOfThePredecessor:
     """Pattern: entries of workers lapse in a log outage, and the owner is killed."""
 
-    def make_successor(self, recorded_vms):
+    def make_successor(self, recorded_vms, ticket_validity_s=0.0):
         """Returns a successor that has claimed the cell, a job and its clock.
 
         Its registry lists one worker, which has reported.
         """
         owner, clock = make_owner([], ScriptedOrders())
         owner.state.max_lease_s = 6.0
-        job = owner.state.add_job(
-            workloads.quote(1), JobProgress(JobPhase.RUNNING), clock.now(), True
-        )
+        job = inherit_job(owner, ticket_validity_s, clock.now())
         owner._claim = CellClaim(2, "a", "a:1", 0)
         owner._claim_age_s = 0.0
         owner.state.recorded_vms = frozenset(recorded_vms)
@@ -500,12 +510,21 @@
         owner.state.unreported.remove(workloads.workers()[0].vm)
         return owner, job, clock
 
-    def test_jobs_wait_for_recorded_workers_without_an_entry(self):
-        """Guards against a second run while the predecessor's lease is still valid."""
-        owner, job, clock = self.make_successor(["w-000", "w-001"])
+    @pytest.mark.parametrize(
+        "ticket_validity_s, late_s",
+        [(0.0, MAX_ORDER_DELAY_S), (1.5, 0.0), (9.0, MAX_ORDER_DELAY_S)],
+    )
+    def test_jobs_wait_for_recorded_workers_without_an_entry(
+        self, ticket_validity_s, late_s
+    ):
+        """Guards against a second run while the predecessor's lease is still valid.
+
+        An order without a ticket, or with a long one, may also be executed late.
+        """
+        owner, job, clock = self.make_successor(["w-000", "w-001"], ticket_validity_s)
         assert owner.state.is_blocked(job)
         longest_s = longest_lease_s(owner.state.max_lease_s)
-        latest = clock.now() + PREDECESSOR_RENEWAL_WINDOW_S + longest_s
+        latest = clock.now() + PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
         owner.state.expire_leases(latest - 0.1)
         assert owner.state.is_blocked(job)
         owner.state.expire_leases(latest + 0.1)
@@ -654,16 +673,14 @@
 
     LONGEST_S = 10.0 * 1.02 + 0.2
 
-    def make_successor(self, is_confirmed):
+    def make_successor(self, is_confirmed, ticket_validity_s=1.5):
         """Returns a successor, an inherited job and the clock.
 
         A worker that it does not reach restarted three seconds ago.
         """
         owner, clock = make_owner([], ScriptedOrders())
         owner.state.max_lease_s = 10.0
-        job = owner.state.add_job(
-            workloads.quote(1), JobProgress(JobPhase.RUNNING), clock.now(), True
-        )
+        job = inherit_job(owner, ticket_validity_s, clock.now())
         born = int((clock.now() - 3.0) * 1000)
         entries = [
             *workloads.workers(1),
@@ -697,6 +714,16 @@
         owner.state.expire_leases(latest + 0.1)
         assert not owner.state.is_blocked(job)
 
+    @pytest.mark.parametrize("is_confirmed", [False, True])
+    def test_late_orders_without_tickets_are_waited_for(self, is_confirmed):
+        """Guards against an order of the predecessor that another restart executes."""
+        owner, job, clock = self.make_successor(is_confirmed, ticket_validity_s=0.0)
+        latest = clock.now() + PREDECESSOR_RENEWAL_WINDOW_S + MAX_ORDER_DELAY_S
+        owner.state.expire_leases(latest + self.LONGEST_S - 0.1)
+        assert owner.state.is_blocked(job)
+        owner.state.expire_leases(latest + self.LONGEST_S + 0.1)
+        assert not owner.state.is_blocked(job)
+
     def test_confirmed_restarts_are_listed_while_they_matter(self):
         """Guards against a claim that grows, and a successor that knows of none."""
         owner, clock = make_owner([], ScriptedOrders())
--- a/tests/cell/test_replacedowner.py
+++ b/tests/cell/test_replacedowner.py
@@ -5,12 +5,16 @@
 from arbutusladder.cell.fencing import token_epoch
 from arbutusladder.cell.interfaces import OrderAnswer
 from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.cell.workers import latest_order_end_s
 from arbutusladder.clock import Clock
 from tests.cell import workloads
-from tests.cell.inprocess import InProcessCell
+from tests.cell.inprocess import MAX_LEASE_S, InProcessCell
 from tests.cell.test_freshness import submit
 from tests.virtualtime import run_in_virtual_time
 
+# Seconds for which the two owners act: longer than a successor waits for a worker.
+PLAY_S = 30.0
+
 
 def cut_workers(workers, old_epoch, used_vm):
     """Lets an old owner reach only the worker in use, and its successor the others.
@@ -67,7 +71,7 @@
         )
         leases = cut_workers(cell.workers, owner.epoch, used_vm)
         allowed_at, begun_at = [], Clock().now()
-        while Clock().now() < begun_at + 20.0:
+        while Clock().now() < begun_at + PLAY_S:
             await curio.sleep(0.1)
             if owner.may_start_tasks():
                 allowed_at.append(Clock().now() - begun_at)
@@ -82,5 +86,6 @@
     def test_task_does_not_run_twice(self):
         """Guards against an owner that is confirmed after its successor was heard."""
         starts, running, allowed_s, leases = run_in_virtual_time(self.play)
-        # Successors wait for the leases of a predecessor, here of 5 s.
-        assert leases[-1] + 5.0 < starts[-1][0]
+        assert len(starts) == 2
+        # Successors wait for late calls of a predecessor, which give the longest lease.
+        assert leases[-1] + latest_order_end_s(MAX_LEASE_S) < starts[-1][0]
