Wait for late calls of a predecessor in all jobs, or in none

Change: all inherited jobs wait 12 s longer for a worker without a report if an order of one of them may be late, also of a finished one or of one that is read while the predecessor may still act. If all queues have tickets of 2.0 s at most, none does. So a row of `UnreportedWorkers` has one end again, and the claim needs no further field.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -13,7 +13,7 @@
     stage_progress,
 )
 from arbutusladder.cell.states import JobPhase
-from arbutusladder.messages import JobProgress, SubmittedJob
+from arbutusladder.messages import JobProgress, QueueTerms, SubmittedJob
 
 # Number of workers in the advice call that a job's time objective allows for.
 OBJECTIVE_ADVICE_WORKERS = 30
@@ -48,14 +48,6 @@
         self.remaining_s_by_step = remaining_s_by_step(self.record)
         self._max_open = self.limits.max_open_occurrences(self.record)
 
-    @property
-    def rejects_late_orders(self) -> bool:
-        """Whether tickets keep an order of a replaced owner from a late execution."""
-        queue = self.record.queue
-        return queue.advice_s > 0 and (
-            0 < queue.advice_validity_s <= MAX_TICKET_VALIDITY_S
-        )
-
     @property
     def is_done(self) -> bool:
         """Whether all occurrences have finished."""
@@ -210,3 +202,8 @@
         for earlier in step.after:
             after_step[earlier] = max(after_step[earlier], remaining[number])
     return remaining
+
+
+def rejects_late_orders(queue: QueueTerms) -> bool:
+    """Returns whether tickets keep orders of a replaced owner from a late execution."""
+    return queue.advice_s > 0 and 0 < queue.advice_validity_s <= MAX_TICKET_VALIDITY_S
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -10,7 +10,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceDemand
-from arbutusladder.cell.celljobs import Job, create_job
+from arbutusladder.cell.celljobs import Job, create_job, rejects_late_orders
 from arbutusladder.cell.forecast.drainratio import DrainRatios
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
@@ -54,6 +54,7 @@
 from arbutusladder.messages import (
     AdviceReply,
     JobProgress,
+    QueueTerms,
     RelayedState,
     Resources,
     SilentWorker,
@@ -88,6 +89,7 @@
         max_lease_s: Longest lease in seconds that a worker accepts.
         unreported: Workers without a complete report since the takeover, which may run
             tasks, or have ended tasks, that this owner does not know.
+        orders_may_be_late: Whether an order of a predecessor may be executed late.
         job_limits: Limits of the size of a job.
         recorded_vms: Workers that the log lists as those of the owner, so that a
             successor waits for them. Only they get tasks and leases. None without a
@@ -121,6 +123,7 @@
         self.max_lease_s = 0.0
         self.job_limits = JobLimits()
         self.unreported = UnreportedWorkers()
+        self.orders_may_be_late = False
         self.recorded_vms: frozenset[VmId] | None = None
         self.listed_silent_vms: set[VmId] = set()
         self.listed_expiring_vms: set[VmId] = set()
@@ -136,6 +139,10 @@
         self._unlogged_ends: list[tuple[Run, RunEnd]] = []
         self._report_processor = ReportProcessor(self)
 
+    def inherit_queue(self, queue: QueueTerms) -> None:
+        """Records that a predecessor may have ordered tasks of a queue."""
+        self.orders_may_be_late |= not rejects_late_orders(queue)
+
     def add_job(
         self,
         record: SubmittedJob,
@@ -156,6 +163,8 @@
         Returns:
             The job.
         """
+        if inherited:
+            self.inherit_queue(record.queue)
         job = create_job(
             record, progress.state, now, inherited, self._wall_offset, self.job_limits
         )
@@ -493,11 +502,11 @@
         Returns:
             Whether there were any.
         """
-        ended = self.unreported.remove_expired(now, granted)
-        for vm, row, ended_at in ended:
-            evidence = EndEvidence(EndProof.LEASES_ENDED, now, now - ended_at)
+        expired = self.unreported.remove_expired(now, granted)
+        for vm, row in expired.items():
+            evidence = EndEvidence(EndProof.LEASES_ENDED, now, now - row.until)
             self._record_unblocked(vm, row, evidence)
-        return bool(ended)
+        return bool(expired)
 
     def _stop_awaiting(self, vm: VmId, evidence: EndEvidence) -> bool:
         """Stops waiting for a worker; returns whether it was waited for."""
@@ -516,13 +525,9 @@
         is_report = evidence.proof is EndProof.LISTED_ALL
         if is_report and self.unreported.may_run_any:
             return
-        jobs = [
-            job
-            for job in self.job_by_id.values()
-            if job.inherited
-            and not job.phase.is_final
-            and row.may_run(job.id, job.rejects_late_orders)
-        ]
+        ids = self.job_by_id if row.job_ids is None else sorted(row.job_ids)
+        known = (self.job_by_id.get(job_id) for job_id in ids)
+        jobs = [j for j in known if j and j.inherited and not j.phase.is_final]
         unblocked = [job.id for job in jobs if not self.is_blocked(job)]
         if unblocked or (jobs and not is_report):
             self.record_event(
@@ -537,9 +542,7 @@
 
     def is_blocked(self, job: Job) -> bool:
         """Returns whether a predecessor may have started tasks of a job elsewhere."""
-        return job.inherited and self.unreported.may_run(
-            job.id, job.rejects_late_orders
-        )
+        return job.inherited and self.unreported.may_run(job.id)
 
     def accepts_tasks(self, worker: Worker, now: float) -> bool:
         """Returns whether new tasks may start on a worker."""
--- a/arbutusladder/cell/claimlists.py
+++ b/arbutusladder/cell/claimlists.py
@@ -4,7 +4,7 @@
 
 from arbutusladder.cell.cellstate import CellState
 from arbutusladder.cell.workers import Worker
-from arbutusladder.ids import JobId, VmId
+from arbutusladder.ids import VmId
 from arbutusladder.messages import SilentWorker, WorkerIncarnation
 
 
@@ -38,9 +38,6 @@
                 row.lease_s, _wait_s(cell, cell.worker_by_vm[row.vm], now, lease_s)
             ),
             is_extended=True,
-            job_ids=sorted(
-                {*row.job_ids, *_job_ids_to_await(cell, cell.worker_by_vm[row.vm])}
-            ),
         )
         if row.vm in cell.worker_by_vm
         else row
@@ -52,7 +49,11 @@
             vm,
             _wait_s(cell, worker, now, lease_s),
             True,
-            sorted(_job_ids_to_await(cell, worker)),
+            sorted(
+                worker.job_ids_to_await.union(
+                    run.job_id for run in cell.unsettled.on_worker(vm)
+                )
+            ),
             False,
         )
         for vm, worker in cell.worker_by_vm.items()
@@ -60,12 +61,6 @@
     ]
 
 
-def _job_ids_to_await(cell: CellState, worker: Worker) -> set[JobId]:
-    """Returns the jobs of which this owner knows that they may run on a worker."""
-    unsettled = cell.unsettled.on_worker(worker.entry.vm)
-    return worker.job_ids_to_await.union(run.job_id for run in unsettled)
-
-
 def _wait_s(cell: CellState, worker: Worker, now: float, lease_s: float) -> float:
     """Returns the seconds for which a successor has to wait for a silent worker.
 
--- a/arbutusladder/cell/forecast/startforecast.py
+++ b/arbutusladder/cell/forecast/startforecast.py
@@ -68,7 +68,7 @@
     rows: list[StartWait] = []
     load_by_service = empty_loads(cell, now)
     is_full = any(load.is_full for load in load_by_service.values())
-    if cell.unreported.has_leases(now) or not (has_waiting or is_full):
+    if cell.unreported.vms or not (has_waiting or is_full):
         return StartForecast()
     add_jobs(load_by_service, cell, now)
     for service, load in load_by_service.items():
--- a/arbutusladder/cell/jobtracking.py
+++ b/arbutusladder/cell/jobtracking.py
@@ -19,7 +19,11 @@
         inherited: Whether a previous owner may have started tasks of it.
     """
     entry = table.job_by_id[job_id]
-    if entry.record is None or entry.progress.state.is_final:
+    if entry.record is None:
+        return
+    if entry.progress.state.is_final:
+        if inherited:
+            state.inherit_queue(entry.record.queue)
         return
     if job_id not in state.job_by_id:
         state.add_job(entry.record, entry.progress, now, inherited)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -9,7 +9,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -45,7 +44,7 @@
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.runorders import RunOrderSender
 from arbutusladder.cell.states import OrderOutcome
-from arbutusladder.cell.workers import latest_order_end_s, longest_lease_s
+from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, longest_lease_s
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import JobId, SeatId, VmId
 from arbutusladder.messages import (
@@ -336,6 +335,9 @@
         inherited = may_act and bool(self.state.unreported)
         for job_id in job_ids:
             self._track_job(job_id, now, inherited)
+        if inherited:
+            leases_end_at = self._taken_over_at + self._predecessor_wait_s()
+            self.state.unreported.extend(leases_end_at)
         await self._decisions_needed.set()
 
     async def handle_hello(self, hello: MemberHello) -> None:
@@ -497,19 +499,14 @@
         if vms is None:
             has_predecessor = self.epoch > FIRST_EPOCH
             vms = frozenset(self.state.worker_by_vm if has_predecessor else ())
-        window_ends_at = now + PREDECESSOR_RENEWAL_WINDOW_S
-        late_until = window_ends_at + latest_order_end_s(self.state.max_lease_s)
         for vm in vms.union(map(VmId, self._claim.silent_workers)):
-            leases_end_at = self._predecessor_leases_end_at(vm, now)
-            unreported.add(vm, leases_end_at, late_until=late_until)
+            unreported.add(vm, self._predecessor_leases_end_at(vm, now))
         for row in self._claim.silent:
             # A lease that was not extended has also run since the claim was renewed.
             age_s = 0.0 if row.is_extended else self._claim_age_s
             until = now + row.lease_s - age_s
             until = max(until, self._former_calls_end_at(row.vm, now))
-            job_ids = None if row.any_job else row.job_ids
-            late_until = now + row.late_s - age_s if row.late_s else -math.inf
-            unreported.add(row.vm, until, job_ids, late_until)
+            unreported.add(row.vm, until, None if row.any_job else row.job_ids)
         self.state.stop_awaiting_expired(now)
         self.state.list_silent_workers(self._claim.silent, stored=True)
 
@@ -519,10 +516,19 @@
         The worker may have restarted unseen. Calls for the clock of its former
         incarnation give it the longest lease.
         """
-        calls_end_at = now + PREDECESSOR_RENEWAL_WINDOW_S
-        leases_end_at = calls_end_at + longest_lease_s(self.state.max_lease_s)
+        leases_end_at = now + self._predecessor_wait_s()
         return max(leases_end_at, self._former_calls_end_at(vm, now))
 
+    def _predecessor_wait_s(self) -> float:
+        """Returns the seconds from a takeover until a predecessor's leases have ended.
+
+        An order that is executed late may start a task, and extends the leases of all
+        runs on its worker.
+        """
+        late_s = MAX_ORDER_DELAY_S if self.state.orders_may_be_late else 0.0
+        longest_s = longest_lease_s(self.state.max_lease_s)
+        return PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
+
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
 
--- a/arbutusladder/messages.py
+++ b/arbutusladder/messages.py
@@ -1023,10 +1023,6 @@
     """
     Whether tasks of further jobs may run on it.
     """
-    late_s: float = 0.0
-    """
-    Seconds after which tasks have ended that late calls of earlier owners may start or keep on it, for jobs whose tickets do not exclude late orders; 0 if there are none.
-    """
 
 
 @dataclass
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -18,7 +18,8 @@
     StartOrder,
     WorkerReport,
 )
-from arbutusladder.cell.jobtable import JobTable
+from arbutusladder.cell.jobtable import JobEntry, JobTable
+from arbutusladder.cell.jobtracking import track_job
 from arbutusladder.cell.memberregistry import MemberRegistry
 from arbutusladder.cell.owner import (
     HEARTBEAT_INTERVAL_S,
@@ -479,9 +480,9 @@
         assert not owner.state.is_blocked(job)
 
 
-def inherit_job(owner, ticket_validity_s, now):
+def inherit_job(owner, ticket_validity_s, now, number=1):
     """Returns an inherited job of an owner, with tickets unless the validity is 0."""
-    record = workloads.quote(1)
+    record = workloads.quote(number)
     terms = dataclasses.replace(
         record.queue,
         advice_s=0.1 if ticket_validity_s else 0.0,
@@ -530,6 +531,38 @@
         owner.state.expire_leases(latest + 0.1)
         assert not owner.state.is_blocked(job)
 
+    @pytest.mark.parametrize("ticket_validity_s", [0.0, 1.5])
+    def test_jobs_with_tickets_wait_for_late_orders_of_others(self, ticket_validity_s):
+        """Guards against a lease that a late order of another job extends.
+
+        That job is read after the takeover, while the predecessor may still start it.
+        """
+        owner, job, clock = self.make_successor(["w-001"], ticket_validity_s=1.5)
+        taken_over_at = owner._taken_over_at = clock.now()
+        clock.advance(1.0)
+        owner._track_job = lambda job_id, now, inherited: inherit_job(
+            owner, ticket_validity_s, now, number=2
+        )
+        run_in_virtual_time(owner.handle_job_changes, [workloads.job_id(2)])
+        late_s = 0.0 if ticket_validity_s else MAX_ORDER_DELAY_S
+        longest_s = longest_lease_s(owner.state.max_lease_s)
+        latest = taken_over_at + PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
+        owner.state.expire_leases(latest - 0.1)
+        assert owner.state.is_blocked(job)
+        owner.state.expire_leases(latest + 0.1)
+        assert not owner.state.is_blocked(job)
+
+    def test_late_order_of_a_finished_job_is_waited_for(self):
+        """Guards against a lease that an order extends after its job has ended."""
+        owner, _, _ = self.make_successor(["w-001"], ticket_validity_s=1.5)
+        assert not owner.state.orders_may_be_late
+        table = JobTable()
+        record = workloads.quote(2)
+        progress = JobProgress(JobPhase.COMPLETED)
+        table.job_by_id[record.job_id] = JobEntry(record, progress=progress)
+        track_job(owner.state, table, record.job_id, 0.0, inherited=True)
+        assert owner.state.orders_may_be_late
+
     def test_report_of_a_returned_worker_ends_the_wait(self):
         """Guards against waiting for the lease of a worker that is back."""
         owner, job, clock = self.make_successor(["w-000", "w-001"])
--- a/tests/cell/test_unreported.py
+++ b/tests/cell/test_unreported.py
@@ -1,7 +1,5 @@
 """Tests of the workers that have not reported since a takeover."""
 
-from dataclasses import replace
-
 import pytest
 
 from arbutusladder.cell.advicecalls import AdviceCapacity
@@ -66,36 +64,6 @@
         assert row.lease_s == pytest.approx(2.0)
 
 
-class TestLateCalls:
-    """Pattern: a call of the predecessor is executed by a worker's next incarnation."""
-
-    def test_only_jobs_without_tickets_wait(self):
-        """Guards against late orders, and against waiting for expired tickets."""
-        plain = workloads.quote(1)
-        with_tickets = workloads.quote(2)
-        terms = replace(with_tickets.queue, advice_s=0.1, advice_validity_s=1.5)
-        state = state_after_takeover(plain, replace(with_tickets, queue=terms))
-        plain_job, job_with_tickets = state.job_by_id.values()
-        state.unreported.add("unknown", NOW + 5.0, late_until=NOW + 17.0)
-        assert state.is_blocked(plain_job)
-        assert state.is_blocked(job_with_tickets)
-        state.expire_leases(NOW + 5.1)
-        assert state.is_blocked(plain_job)
-        assert not state.is_blocked(job_with_tickets)
-        state.expire_leases(NOW + 17.1)
-        assert not state.is_blocked(plain_job)
-        assert not state.unreported
-
-    def test_next_successor_waits_for_the_rest(self):
-        """Guards against a second takeover that forgets late calls of the first."""
-        unreported = UnreportedWorkers()
-        unreported.add("unknown", NOW + 5.0, late_until=NOW + 17.0)
-        unreported.remove_expired(NOW + 6.0)
-        (row,) = unreported.describe(NOW + 6.0)
-        assert (row.lease_s, row.job_ids, row.any_job) == (0.0, [], False)
-        assert row.late_s == pytest.approx(11.0)
-
-
 class TestListedWorker:
     """Pattern: a silent worker answers again shortly before its owner is killed."""
 
