Tests: a successor of which the confirmed predecessor learns late

A task runs on two workers (TWICE): its predecessor goes on extending leases and giving orders while the successor counts down the wait for them.

Cause: PREDECESSOR_RENEWAL_WINDOW_S counts from the end of the takeover. The evidence of a predecessor that cannot reach the log comes from entry VMs, and ends with the first heartbeat of the successor that these receive. A successor that has started anew, and whose link to the predecessor is cut, knows no entry VM to which it could send one: the wait ends and the predecessor goes on without a bound. A successor that is paused between the takeover and its first heartbeat counts the pause as part of the wait.

Product code is unchanged.

--- a/tests/cell/test_takeoverrestart.py
+++ b/tests/cell/test_takeoverrestart.py
@@ -98,11 +98,11 @@
         return [owner for owner in owners if owner]
 
 
-def play(script, max_lease_s, tickets, same_vm, late_s=LATE_S):
+def play(script, max_lease_s, tickets, same_vm, late_s=LATE_S, kind=TakeoverScenario):
     """Plays a script in virtual time; returns the broken rules."""
 
     async def run():
-        scenario = TakeoverScenario(max_lease_s, tickets, same_vm)
+        scenario = kind(max_lease_s, tickets, same_vm)
         await scenario.cell.start()
         began_at = time.monotonic()
         await script(scenario)
