Count the validity of tickets into the wait for a predecessor's orders

The successor of a killed owner took tickets of up to 2.0 s for a proof that no order is late.

Change: the wait is 1.5 s and the longest validity of an inherited queue's tickets, 3.0 s at least, and then the longest lease: 3.0 s with tickets of 1.5 s as before, 4.0 s with 2.5 s, and 13.5 s without tickets.

test_owner asserts it for 0, 1.5, 2.5 and 90 s to 0.1 s on both sides, and that the validity of evidence is shorter than 1.5 s.

--- a/arbutusladder/cell/celljobs.py
+++ b/arbutusladder/cell/celljobs.py
@@ -13,15 +13,12 @@
     stage_progress,
 )
 from arbutusladder.cell.states import JobPhase
-from arbutusladder.messages import JobProgress, QueueTerms, SubmittedJob
+from arbutusladder.messages import JobProgress, SubmittedJob
 
 # Number of workers in the advice call that a job's time objective allows for.
 OBJECTIVE_ADVICE_WORKERS = 30
 # A job still earns partial credit until this multiple of its time objective.
 LATE_OBJECTIVE_FACTOR = 3.0
-# Longest validity in seconds of a ticket that excludes late orders. A replaced owner
-# sends orders for less than a second, and its successor waits 3.0 s for them.
-MAX_TICKET_VALIDITY_S = 2.0
 
 
 @dataclass(slots=True, eq=False)
@@ -202,8 +199,3 @@
         for earlier in step.after:
             after_step[earlier] = max(after_step[earlier], remaining[number])
     return remaining
-
-
-def rejects_late_orders(queue: QueueTerms) -> bool:
-    """Returns whether tickets keep orders of a replaced owner from a late execution."""
-    return queue.advice_s > 0 and 0 < queue.advice_validity_s <= MAX_TICKET_VALIDITY_S
--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -10,7 +10,7 @@
 
 from arbutusladder import events
 from arbutusladder.cell.advicecalls import AdviceDemand
-from arbutusladder.cell.celljobs import Job, create_job, rejects_late_orders
+from arbutusladder.cell.celljobs import Job, create_job
 from arbutusladder.cell.forecast.drainratio import DrainRatios
 from arbutusladder.cell.interfaces import (
     OrderAnswer,
@@ -46,6 +46,7 @@
     Worker,
     latest_order_end_s,
     longest_lease_s,
+    order_delay_s,
 )
 from arbutusladder.cell.workerselection import needs_advice
 from arbutusladder.errors import JobTooLarge
@@ -89,7 +90,7 @@
         max_lease_s: Longest lease in seconds that a worker accepts.
         unreported: Workers without a complete report since the takeover, which may run
             tasks, or have ended tasks, that this owner does not know.
-        orders_may_be_late: Whether an order of a predecessor may be executed late.
+        order_delay_s: Seconds after which no order of a predecessor is executed.
         job_limits: Limits of the size of a job.
         recorded_vms: Workers that the log lists as those of the owner, so that a
             successor waits for them. Only they get tasks and leases. None without a
@@ -123,7 +124,7 @@
         self.max_lease_s = 0.0
         self.job_limits = JobLimits()
         self.unreported = UnreportedWorkers()
-        self.orders_may_be_late = False
+        self.order_delay_s = 0.0
         self.recorded_vms: frozenset[VmId] | None = None
         self.listed_silent_vms: set[VmId] = set()
         self.listed_expiring_vms: set[VmId] = set()
@@ -141,7 +142,8 @@
 
     def inherit_queue(self, queue: QueueTerms) -> None:
         """Records that a predecessor may have ordered tasks of a queue."""
-        self.orders_may_be_late |= not rejects_late_orders(queue)
+        delay_s = order_delay_s(queue)
+        self.order_delay_s = max(self.order_delay_s, delay_s)
 
     def add_job(
         self,
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -44,7 +44,7 @@
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.runorders import RunOrderSender
 from arbutusladder.cell.states import OrderOutcome
-from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, longest_lease_s
+from arbutusladder.cell.workers import longest_lease_s
 from arbutusladder.errors import LogUnavailable
 from arbutusladder.ids import JobId, SeatId, VmId
 from arbutusladder.messages import (
@@ -88,6 +88,8 @@
 # Seconds for which a replaced owner may go on starting tasks and extending leases
 # before it detects that it was replaced.
 PREDECESSOR_RENEWAL_WINDOW_S = 3.0
+# Seconds for which it may go on sending orders.
+PREDECESSOR_ORDER_WINDOW_S = 1.5
 
 
 class Owner:
@@ -525,9 +527,9 @@
         An order that is executed late may start a task, and extends the leases of all
         runs on its worker.
         """
-        late_s = MAX_ORDER_DELAY_S if self.state.orders_may_be_late else 0.0
-        longest_s = longest_lease_s(self.state.max_lease_s)
-        return PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
+        orders_end_s = PREDECESSOR_ORDER_WINDOW_S + self.state.order_delay_s
+        calls_end_s = max(PREDECESSOR_RENEWAL_WINDOW_S, orders_end_s)
+        return calls_end_s + longest_lease_s(self.state.max_lease_s)
 
     def _former_calls_end_at(self, vm: VmId, now: float) -> float:
         """Returns when leases by calls to former incarnations of a worker have ended.
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -10,7 +10,7 @@
 from arbutusladder.cell.runs import MAX_ORDER_DELAY_S, Run, RunKey
 from arbutusladder.cell.states import RunPhase
 from arbutusladder.ids import JobId
-from arbutusladder.messages import Resources
+from arbutusladder.messages import QueueTerms, Resources
 from arbutusladder.resources import add, subtract
 
 # Largest share by which a worker's clock may run slower than the owner's.
@@ -45,6 +45,16 @@
     return lease_s * (1 + CLOCK_RATE_ERROR) + LEASE_END_MARGIN_S
 
 
+def order_delay_s(queue: QueueTerms) -> float:
+    """Returns the seconds after which no order to start a task of a queue is executed.
+
+    A worker rejects an order whose ticket is no longer valid.
+    """
+    if queue.advice_s > 0 and queue.advice_validity_s > 0:
+        return min(queue.advice_validity_s, MAX_ORDER_DELAY_S)
+    return MAX_ORDER_DELAY_S
+
+
 def latest_order_end_s(max_lease_s: float) -> float:
     """Returns the seconds after which a run by an order without an answer has ended.
 
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -25,6 +25,7 @@
     HEARTBEAT_INTERVAL_S,
     MAX_DECISION_INTERVAL_S,
     MAX_START_REPEATS,
+    PREDECESSOR_ORDER_WINDOW_S,
     PREDECESSOR_RENEWAL_WINDOW_S,
     Owner,
 )
@@ -365,6 +366,7 @@
     def test_evidence_expires_before_a_successor_relies_on_it(self):
         """Guards against a window in which both owners give orders."""
         assert EVIDENCE_VALIDITY_S + ORDER_DELIVERY_S <= PREDECESSOR_RENEWAL_WINDOW_S
+        assert EVIDENCE_VALIDITY_S < PREDECESSOR_ORDER_WINDOW_S
         assert EVIDENCE_VALIDITY_S * (1 + CLOCK_RATE_ERROR) < CLAIM_TIMEOUT_S
 
 
@@ -513,7 +515,7 @@
 
     @pytest.mark.parametrize(
         "ticket_validity_s, late_s",
-        [(0.0, MAX_ORDER_DELAY_S), (1.5, 0.0), (9.0, MAX_ORDER_DELAY_S)],
+        [(0.0, MAX_ORDER_DELAY_S), (1.5, 1.5), (2.5, 2.5), (90.0, MAX_ORDER_DELAY_S)],
     )
     def test_jobs_wait_for_recorded_workers_without_an_entry(
         self, ticket_validity_s, late_s
@@ -525,7 +527,7 @@
         owner, job, clock = self.make_successor(["w-000", "w-001"], ticket_validity_s)
         assert owner.state.is_blocked(job)
         longest_s = longest_lease_s(owner.state.max_lease_s)
-        latest = clock.now() + PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
+        latest = clock.now() + PREDECESSOR_ORDER_WINDOW_S + late_s + longest_s
         owner.state.expire_leases(latest - 0.1)
         assert owner.state.is_blocked(job)
         owner.state.expire_leases(latest + 0.1)
@@ -544,9 +546,9 @@
             owner, ticket_validity_s, now, number=2
         )
         run_in_virtual_time(owner.handle_job_changes, [workloads.job_id(2)])
-        late_s = 0.0 if ticket_validity_s else MAX_ORDER_DELAY_S
+        late_s = ticket_validity_s or MAX_ORDER_DELAY_S
         longest_s = longest_lease_s(owner.state.max_lease_s)
-        latest = taken_over_at + PREDECESSOR_RENEWAL_WINDOW_S + late_s + longest_s
+        latest = taken_over_at + PREDECESSOR_ORDER_WINDOW_S + late_s + longest_s
         owner.state.expire_leases(latest - 0.1)
         assert owner.state.is_blocked(job)
         owner.state.expire_leases(latest + 0.1)
@@ -555,13 +557,13 @@
     def test_late_order_of_a_finished_job_is_waited_for(self):
         """Guards against a lease that an order extends after its job has ended."""
         owner, _, _ = self.make_successor(["w-001"], ticket_validity_s=1.5)
-        assert not owner.state.orders_may_be_late
+        assert owner.state.order_delay_s == 1.5
         table = JobTable()
         record = workloads.quote(2)
         progress = JobProgress(JobPhase.COMPLETED)
         table.job_by_id[record.job_id] = JobEntry(record, progress=progress)
         track_job(owner.state, table, record.job_id, 0.0, inherited=True)
-        assert owner.state.orders_may_be_late
+        assert owner.state.order_delay_s == MAX_ORDER_DELAY_S
 
     def test_report_of_a_returned_worker_ends_the_wait(self):
         """Guards against waiting for the lease of a worker that is back."""
@@ -751,7 +753,7 @@
     def test_late_orders_without_tickets_are_waited_for(self, is_confirmed):
         """Guards against an order of the predecessor that another restart executes."""
         owner, job, clock = self.make_successor(is_confirmed, ticket_validity_s=0.0)
-        latest = clock.now() + PREDECESSOR_RENEWAL_WINDOW_S + MAX_ORDER_DELAY_S
+        latest = clock.now() + PREDECESSOR_ORDER_WINDOW_S + MAX_ORDER_DELAY_S
         owner.state.expire_leases(latest + self.LONGEST_S - 0.1)
         assert owner.state.is_blocked(job)
         owner.state.expire_leases(latest + self.LONGEST_S + 0.1)
