Hear a worker again whose former entry is read late

A worker got no leases and no tasks for good: the owner dropped each of its reports.

Cause: the wall clock of the worker was set back between two incarnations, so the former one has the later start time. Its entry was read after the owner had heard the present one, which counted as a former one from then on. Reports of former incarnations were dropped whatever they answered, and an entry with a lower start time is ignored.

Change: a report of an incarnation that an entry has replaced counts if it was requested after the entry was read. The first one only makes its incarnation the present one again; what it runs is taken from the next. An incarnation stays a former one for good once another one has answered a report after it, and the entry that was read late is ignored.

Why no task runs twice by it: the incarnation of the entry had begun when the entry was read, and the other one has answered a call that was sent after that, under the token raised at the reading or a higher one. Incarnations do not overlap, so that of the entry has ended. An answer to a call that was sent before the entry was read shows nothing, and is dropped as before.

Ends that the worker has not yet forgotten are applied a second time, as after a takeover: a gang that has started again since a member was stopped is stopped once more.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -232,6 +232,8 @@
             source: What shows the restart, for the event log.
         """
         worker.begin_incarnation(born, now)
+        if source == "report":
+            worker.record_heard()
         self.record_event(
             events.WORKER_INCARNATION_BEGAN,
             worker=worker.entry.vm,
@@ -263,11 +265,16 @@
         worker = self.worker_by_vm.get(vm)
         if worker is None:
             return 0
-        if report.born not in (0, worker.born) and not worker.is_next_incarnation(
-            report.born, sent_at
-        ):
-            # A late answer of an earlier incarnation, whose runs are gone.
-            return worker.last_end_number
+        if report.born not in (0, worker.born):
+            if not worker.is_next_incarnation(report.born, sent_at):
+                # A late answer of an earlier incarnation, whose runs are gone.
+                return worker.last_end_number
+            if worker.contradicts_entry(report.born):
+                # What it runs is taken from its next report, which excludes all calls
+                # before this one.
+                self.begin_incarnation(worker, report.born, now, "report")
+                worker.record_answer(None, now)
+                return worker.last_end_number
         is_complete = self._report_processor.apply(worker, report, sent_at, now)
         # The worker has seen this owner's epoch, so it obeys no previous one.
         worker.limit_inherited_leases(now + self._inherited_lease_s(worker, now))
--- a/arbutusladder/cell/reports.py
+++ b/arbutusladder/cell/reports.py
@@ -47,6 +47,7 @@
         """
         if worker.is_next_incarnation(report.born, sent_at):
             self._cell.begin_incarnation(worker, report.born, now, "report")
+        worker.record_heard()
         # A report that was requested under an earlier token shows what the worker runs,
         # but earlier calls may still take effect on it.
         if report.token_number == worker.token_number:
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -115,6 +115,8 @@
     token_used: bool = False
     listed_all_at: float = -math.inf
     restart_confirmed: bool = False
+    _heard_born: int = 0
+    _ended_borns: deque[int] = field(default_factory=lambda: deque(maxlen=FORMER_BORNS))
     _restarted: bool = False
     _called_at: float = -math.inf
     _clock: float | None = None
@@ -136,13 +138,26 @@
     def is_next_incarnation(self, born: int, sent_at: float) -> bool:
         """Returns whether a report shows an incarnation after the newest known one.
 
+        The newest known one had begun when it became known, and incarnations do not
+        overlap. So another one that answers a call which was sent after that has begun
+        later, also if a registry entry with a later start time has replaced it.
+
         Args:
             born: Start time in the report; 0 if it has none.
             sent_at: Monotonic time in seconds at which the report was requested.
         """
-        if born in (0, self.born) or born in self.former_borns:
+        if born in (0, self.born) or born in self._ended_borns:
             return False
-        return born > self.born or sent_at > self.born_known_at
+        began_later = born > self.born and born not in self.former_borns
+        return began_later or sent_at > self.born_known_at
+
+    def contradicts_entry(self, born: int) -> bool:
+        """Returns whether a report is of an incarnation that the entry has replaced.
+
+        Args:
+            born: Start time in the report.
+        """
+        return born in self.former_borns and born != self.entry.born
 
     def begin_incarnation(self, born: int, now: float) -> None:
         """Records a restart, after which the worker knows nothing of before.
@@ -156,6 +171,8 @@
             born: Start time of the new incarnation.
             now: Monotonic time in seconds.
         """
+        if born in self.former_borns:
+            self.former_borns.remove(born)
         self.former_borns.append(self.born)
         self.born, self.born_known_at = born, now
         self.acknowledged = self.last_end_number = 0
@@ -186,6 +203,16 @@
         run.unanswered += 1
         run.ordered_born, run.token_number = self.born, self.token_number
 
+    def record_heard(self) -> None:
+        """Records a report of the present incarnation.
+
+        Reports are requested one after the other, so another incarnation that has sent
+        the last one before it has ended.
+        """
+        if self._heard_born not in (0, self.born):
+            self._ended_borns.append(self._heard_born)
+        self._heard_born = self.born
+
     def confirm(self, clock: float, now: float, max_lease_s: float) -> None:
         """Records a report that was requested under the present token.
 
--- a/tests/cell/test_returningworker.py
+++ b/tests/cell/test_returningworker.py
@@ -1,5 +1,7 @@
 """Tests of workers that are forgotten, and return while former calls may arrive."""
 
+import dataclasses
+import random
 import time
 from unittest import mock
 
@@ -8,6 +10,7 @@
 
 from tests.cell import explorefaults as faults
 from tests.cell import explorehostile, exploreworkers, test_unseenrestart
+from tests.cell.inprocess import REGISTRY_TOPIC
 from tests.cell.test_restartedworker import NEW, NOW, OLD, RestartingWorker
 
 # Seconds after which a late call is executed: of the owner, and of one that is killed,
@@ -18,6 +21,11 @@
 PLAY_S = 60.0
 # How far the clock of the next incarnation is behind.
 CLOCK_STEP_S = 50.0
+# How far the wall clock of a worker is set back, and the time until the registry shows
+# its present entry again.
+WALL_CLOCK_STEP_MS, ENTRY_LATE_S = 3000, 1.5
+# Random plays of one worker, and steps of each.
+PLAYS, STEPS = 300, 30
 
 
 class TestForgottenWorker:
@@ -107,3 +115,59 @@
         cell.report(OLD, NOW + 1.5)
         cell.register(NEW, NOW + 2.0)
         assert cell.worker.born == OLD
+
+    def test_owner_starts_tasks_on_the_worker_again(self):
+        """Guards against the same with real entry VMs and renewals."""
+
+        async def script(scenario):
+            cell = scenario.cell
+            first, second = cell.worker_by_vm.values()
+            scenario.inject(faults.WorkerCut, second)
+            await scenario.wait_for_poll(first)
+            born = first.born + WALL_CLOCK_STEP_MS
+            former = dataclasses.replace(first.entry, born=born)
+            cell._entry_by_record[first.name, str(born)] = former
+            record = first.name, str(born).encode()
+            await cell.log.append(REGISTRY_TOPIC, [record])
+            await curio.sleep(ENTRY_LATE_S)
+            await cell.log.append(REGISTRY_TOPIC, [cell._record(first)])
+            await scenario.submit()
+            worker, _ = await scenario.wait_for_order()
+            assert worker is first
+
+        assert test_unseenrestart.play(script, 6.0) == []
+
+
+class TestOrderOfEntriesAndReports:
+    """Pattern: incarnations whose start times are in any order, and late entries."""
+
+    def play(self, draw):
+        """Plays one worker; returns its state and the present incarnation."""
+        cell = RestartingWorker()
+        borns = [OLD, *draw.sample(range(NEW, NEW + 50), 5)]
+        present, now = 0, NOW
+        for _ in range(STEPS):
+            now += 0.1
+            match draw.choice(["restart", "entry", "report", "report"]):
+                case "restart":
+                    present = min(present + 1, len(borns) - 1)
+                case "entry":
+                    cell.register(draw.choice(borns[: present + 1]), now)
+                case "report":
+                    sent_at, answers = now, present
+                    if draw.random() < 0.3:
+                        present = min(present + 1, len(borns) - 1)
+                    if draw.random() < 0.3:
+                        cell.register(borns[present], now + 0.02)
+                    cell.report(borns[answers], now + 0.05, sent_at=sent_at)
+        for seconds in (0.1, 0.2):
+            cell.report(borns[present], now + seconds)
+        cell.register(borns[present], now + 0.3)
+        return cell, borns[present], now + 0.4
+
+    def test_incarnation_that_answers_gets_tasks(self):
+        """Guards against reports that are dropped for good, in any order of entries."""
+        for seed in range(PLAYS):
+            cell, born, now = self.play(random.Random(seed))
+            assert cell.worker.born == born, f"seed {seed}"
+            assert cell.state.accepts_tasks(cell.worker, now), f"seed {seed}"
