Count the longest lease of a run until its incarnation has ended

A task could start elsewhere while its run on a silent worker held the longest lease.

Cause: a run that an incarnation is known to have was taken for ended with the granted leases as soon as the registry showed another incarnation. The incarnation with the run then goes on, and if no report of it has excluded the calls for the clock before it, it may hold the longest lease that the worker accepts.

Change: such a run ends with the granted leases if its incarnation was confirmed, so that the leases were granted by its own clock, or if another one has answered after it.

Test: test_longest_lease_of_the_present_incarnation_counts failed before: the run, under a lease of 5 s, counted as ended when the longest one of 10 s had not.

--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -115,6 +115,7 @@
     token_used: bool = False
     listed_all_at: float = -math.inf
     restart_confirmed: bool = False
+    _confirmed_born: int = 0
     _heard_born: int = 0
     _ended_borns: deque[int] = field(default_factory=lambda: deque(maxlen=FORMER_BORNS))
     _restarted: bool = False
@@ -127,7 +128,7 @@
     @classmethod
     def create(cls, entry: WorkerEntry) -> "Worker":
         """Returns a worker without runs."""
-        return cls(entry, entry.capacity, entry.born)
+        return cls(entry, entry.capacity, entry.born, _confirmed_born=entry.born)
 
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replaces the entry; its capacity may have changed after a restart."""
@@ -227,6 +228,7 @@
         """
         if self._restarted:
             self._restarted, self.restart_confirmed = False, True
+            self._confirmed_born = self.born
             latest = now + longest_lease_s(max_lease_s)
             self._leases_expire_at = max(self._leases_expire_at or latest, latest)
         self.record_answer(clock, now)
@@ -386,12 +388,13 @@
     def calls_end_at(self, run: Run, max_lease_s: float) -> float:
         """Returns when calls that a former incarnation was meant to get have no effect.
 
-        A run that an incarnation is known to have ends with the leases, or with that
-        incarnation. An order without an answer may be executed by an incarnation that
-        has begun since, known or not. Such an incarnation may also have accepted an
-        order, and any call that was sent for the former clock may give it the longest
-        lease. A ticket does not show which incarnation accepts its order: it may have
-        been given after a restart that nobody has seen.
+        A run that a confirmed incarnation is known to have ends with the leases, and
+        any run ends with its incarnation. A registry entry does not show that: it may
+        be that of a former one. An order without an answer may be executed by an
+        incarnation that has begun since, known or not. Such an incarnation may also
+        have accepted an order, and any call that was sent for the former clock may give
+        it the longest lease. A ticket does not show which incarnation accepts its
+        order: it may have been given after a restart that nobody has seen.
 
         Args:
             run: A run on this worker.
@@ -400,10 +403,10 @@
         Returns:
             Monotonic time in seconds; -inf if the leases alone decide.
         """
-        if not run.in_doubt and run.confirmed_born:
-            is_of_former_incarnation = run.confirmed_born != self.born
-            if is_of_former_incarnation or not self._restarted:
-                return -math.inf
+        born = run.confirmed_born
+        ends_with_leases = born in (self._confirmed_born, *self._ended_borns)
+        if born and not run.in_doubt and ends_with_leases:
+            return -math.inf
         return self._called_at + latest_order_end_s(max_lease_s)
 
     def assume_lease(self, expires_at: float) -> None:
--- a/tests/cell/test_returningworker.py
+++ b/tests/cell/test_returningworker.py
@@ -12,6 +12,7 @@
 from tests.cell import explorehostile, exploreworkers, test_unseenrestart
 from tests.cell.inprocess import REGISTRY_TOPIC
 from tests.cell.test_restartedworker import NEW, NOW, OLD, RestartingWorker
+from tests.cell.test_runstakenforended import LONGEST_S
 
 # Seconds after which a late call is executed: of the owner, and of one that is killed,
 # once its successor has forgotten the worker.
@@ -137,6 +138,21 @@
 
         assert test_unseenrestart.play(script, 6.0) == []
 
+    def test_longest_lease_of_the_present_incarnation_counts(self):
+        """Guards against a run that is taken for ended by leases on a former clock.
+
+        The report answers a call for the clock of an incarnation before, so the worker
+        may hold the longest lease. It is cut off when the entry is read.
+        """
+        cell = RestartingWorker()
+        cell.worker.grant_lease(NOW, 5.0)
+        number = cell.worker.token_number
+        cell.report(NEW - 3, NOW + 0.5, running=[1], number=number)
+        cell.register(NEW, NOW + 0.6)
+        cell.worker.record_missed_renewal(NOW + 0.7)
+        cell.state.expire_leases(NOW + 0.5 + LONGEST_S - 0.1)
+        assert not cell.task.is_waiting
+
 
 class TestOrderOfEntriesAndReports:
     """Pattern: incarnations whose start times are in any order, and late entries."""
