Keep the runs of a worker when another one answers at a former address

A task could start on another worker while its run went on.

Cause: an answer by another worker (421) at the address of a worker's entry ended all of its runs at once. The entry may be that of a former incarnation with a later start time, read after the present one was heard at another address. The answer then shows only that the former one has left.

Change: such an answer counts as a missed renewal, or as an order without an answer, if the worker has sent its last report from another address; its runs end with the leases. A silent worker whose newest entry in the registry is ignored is taken anew from the registry once it has no runs and no lease depends on it, so that the owner calls it at its present address.

--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -214,11 +214,14 @@
                     self.begin_incarnation(worker, entry.born, now, "registry")
                 worker.update_entry(entry)
         for vm, worker in list(self.worker_by_vm.items()):
-            if vm not in entry_by_vm:
+            entry = entry_by_vm.get(vm)
+            if entry is None:
                 worker.registered = False
-                is_used = worker.run_by_key or self.unsettled.on_worker(vm)
-                if not is_used and worker.is_forgettable(now, self.max_lease_s):
-                    self._forget_worker(worker)
+            elif not worker.is_replaceable_by(entry):
+                continue
+            is_used = worker.run_by_key or self.unsettled.on_worker(vm)
+            if not is_used and worker.is_forgettable(now, self.max_lease_s):
+                self._forget_worker(worker)
 
     def begin_incarnation(
         self, worker: Worker, born: int, now: float, source: str
@@ -311,7 +314,7 @@
         """Returns an answer whose outcome tells what a refusal says of the worker.
 
         A lower token may be that of the owner itself, and the worker may have come back
-        at another address since.
+        at another address since, or have answered there before its entry was read.
 
         Args:
             entry: Entry of the worker to which the call was sent. The worker may have
@@ -330,6 +333,8 @@
             case OrderOutcome.WORKER_REPLACED:
                 if worker and worker.entry.address != entry.address:
                     return replace(answer, outcome=OrderOutcome.MISDIRECTED)
+                if worker and worker.has_answered_elsewhere:
+                    return replace(answer, outcome=OrderOutcome.UNKNOWN)
         return answer
 
     def apply_start_answer(
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -117,6 +117,7 @@
     restart_confirmed: bool = False
     _confirmed_born: int = 0
     _heard_born: int = 0
+    _heard_address: str = ""
     _ended_borns: deque[int] = field(default_factory=lambda: deque(maxlen=FORMER_BORNS))
     _restarted: bool = False
     _called_at: float = -math.inf
@@ -212,7 +213,23 @@
         """
         if self._heard_born not in (0, self.born):
             self._ended_borns.append(self._heard_born)
-        self._heard_born = self.born
+        self._heard_born, self._heard_address = self.born, self.entry.address
+
+    @property
+    def has_answered_elsewhere(self) -> bool:
+        """Whether it has sent its last report from another address than the present.
+
+        The entry with the present address may be that of a former incarnation.
+        """
+        return self._heard_address not in ("", self.entry.address)
+
+    def is_replaceable_by(self, entry: WorkerEntry) -> bool:
+        """Returns whether the registry shows an entry that the silent worker may have.
+
+        It is ignored as that of a former incarnation, but the one that counts as the
+        present does not answer.
+        """
+        return entry.born != self.entry.born and self.silent_since is not None
 
     def confirm(self, clock: float, now: float, max_lease_s: float) -> None:
         """Records a report that was requested under the present token.
--- a/tests/cell/test_returningworker.py
+++ b/tests/cell/test_returningworker.py
@@ -3,16 +3,29 @@
 import dataclasses
 import random
 import time
+from types import SimpleNamespace
 from unittest import mock
 
 import curio
 import pytest
 
+from arbutusladder.cell.interfaces import OrderAnswer
+from arbutusladder.cell.leaserenewer import LeaseRenewer
+from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.journal import Journal
 from tests.cell import explorefaults as faults
 from tests.cell import explorehostile, exploreworkers, test_unseenrestart
 from tests.cell.inprocess import REGISTRY_TOPIC
-from tests.cell.test_restartedworker import NEW, NOW, OLD, RestartingWorker
+from tests.cell.test_restartedworker import (
+    ACCEPTED,
+    ENTRY,
+    NEW,
+    NOW,
+    OLD,
+    RestartingWorker,
+)
 from tests.cell.test_runstakenforended import LONGEST_S
+from tests.virtualtime import run_in_virtual_time
 
 # Seconds after which a late call is executed: of the owner, and of one that is killed,
 # once its successor has forgotten the worker.
@@ -154,6 +167,54 @@
         assert not cell.task.is_waiting
 
 
+class TestFormerAddress:
+    """Pattern: the former incarnation had an address that another worker has now.
+
+    Its entry is read late, so that the owner calls that worker, which answers 421.
+    """
+
+    FORMER_ADDRESS = "10.0.9.9:80"
+
+    def make_cell(self):
+        """Returns a cell whose worker runs a task at its present address."""
+        cell = RestartingWorker()
+        cell.answer(ACCEPTED, NOW + 0.1)
+        cell.worker.grant_lease(NOW + 0.1, 5.0)
+        cell.report(OLD, NOW + 0.3, running=[1])
+        cell.register(NEW, NOW + 1.0, address=self.FORMER_ADDRESS)
+        return cell
+
+    def refuse_renewal(self, cell, now):
+        """Applies the answer of the other worker to a renewal."""
+        clock = SimpleNamespace(now=lambda: now)
+        dependencies = SimpleNamespace(clock=clock, journal=Journal("a"))
+        renewer = LeaseRenewer(None, cell.state, None, dependencies)
+        answer = OrderAnswer(OrderOutcome.WORKER_REPLACED)
+        number = cell.worker.token_number
+        answer = cell.state.resolve_refusal(cell.worker.entry, answer, number)
+        run_in_virtual_time(renewer._handle_answer, ENTRY.vm, answer, now)
+
+    def test_runs_end_with_the_leases(self):
+        """Guards against runs that count as ended while they go on elsewhere."""
+        cell = self.make_cell()
+        self.refuse_renewal(cell, NOW + 1.1)
+        cell.state.expire_leases(NOW + 4.0)
+        assert [run.number for run in cell.task.runs] == [1]
+        cell.state.expire_leases(NOW + 6.0)
+        assert cell.task.is_waiting
+
+    def test_worker_is_heard_at_its_present_address_again(self):
+        """Guards against an entry that is ignored for good."""
+        cell = self.make_cell()
+        self.refuse_renewal(cell, NOW + 1.1)
+        later = NOW + 30.0
+        cell.state.expire_leases(later)
+        for seconds in (0.0, 0.5):
+            cell.register(OLD, later + seconds)
+        cell.report(OLD, later + 0.6)
+        assert cell.state.accepts_tasks(cell.worker, later + 0.7)
+
+
 class TestOrderOfEntriesAndReports:
     """Pattern: incarnations whose start times are in any order, and late entries."""
 
