--- a/arbutusladder/cell/cellstate.py
+++ b/arbutusladder/cell/cellstate.py
@@ -225,11 +225,14 @@
                     self.begin_incarnation(worker, entry.born, now, "registry")
                 worker.update_entry(entry)
         for vm, worker in list(self.worker_by_vm.items()):
-            if vm not in entry_by_vm:
+            entry = entry_by_vm.get(vm)
+            if entry is None:
                 worker.registered = False
-                is_used = worker.run_by_key or self.unsettled.on_worker(vm)
-                if not is_used and worker.is_forgettable(now, self.max_lease_s):
-                    self._forget_worker(worker)
+            elif not worker.is_replaceable_by(entry):
+                continue
+            is_used = worker.run_by_key or self.unsettled.on_worker(vm)
+            if not is_used and worker.is_forgettable(now, self.max_lease_s):
+                self._forget_worker(worker)
 
     def begin_incarnation(
         self, worker: Worker, born: int, now: float, source: str
@@ -243,6 +246,8 @@
             source: What shows the restart, for the event log.
         """
         worker.begin_incarnation(born, now)
+        if source == "report":
+            worker.record_heard()
         self.record_event(
             events.WORKER_INCARNATION_BEGAN,
             worker=worker.entry.vm,
@@ -274,11 +279,16 @@
         worker = self.worker_by_vm.get(vm)
         if worker is None:
             return 0
-        if report.born not in (0, worker.born) and not worker.is_next_incarnation(
-            report.born, sent_at
-        ):
-            # A late answer of an earlier incarnation, whose runs are gone.
-            return worker.last_end_number
+        if report.born not in (0, worker.born):
+            if not worker.is_next_incarnation(report.born, sent_at):
+                # A late answer of an earlier incarnation, whose runs are gone.
+                return worker.last_end_number
+            if worker.contradicts_entry(report.born):
+                # What it runs is taken from its next report, which excludes all calls
+                # before this one.
+                self.begin_incarnation(worker, report.born, now, "report")
+                worker.record_answer(None, now)
+                return worker.last_end_number
         is_complete = self._report_processor.apply(worker, report, sent_at, now)
         # The worker has seen this owner's epoch, so it obeys no previous one.
         worker.limit_inherited_leases(now + self._inherited_lease_s(worker, now))
@@ -315,7 +325,7 @@
         """Returns an answer whose outcome tells what a refusal says of the worker.
 
         A lower token may be that of the owner itself, and the worker may have come back
-        at another address since.
+        at another address since, or have answered there before its entry was read.
 
         Args:
             entry: Entry of the worker to which the call was sent. The worker may have
@@ -334,6 +344,8 @@
             case OrderOutcome.WORKER_REPLACED:
                 if worker and worker.entry.address != entry.address:
                     return replace(answer, outcome=OrderOutcome.MISDIRECTED)
+                if worker and worker.has_answered_elsewhere:
+                    return replace(answer, outcome=OrderOutcome.UNKNOWN)
         return answer
 
     def apply_start_answer(
--- a/arbutusladder/cell/workers.py
+++ b/arbutusladder/cell/workers.py
@@ -125,6 +125,10 @@
     token_used: bool = False
     listed_all_at: float = -math.inf
     restart_confirmed: bool = False
+    _confirmed_born: int = 0
+    _heard_born: int = 0
+    _heard_address: str = ""
+    _ended_borns: deque[int] = field(default_factory=lambda: deque(maxlen=FORMER_BORNS))
     _restarted: bool = False
     _called_at: float = -math.inf
     _clock: float | None = None
@@ -135,7 +139,7 @@
     @classmethod
     def create(cls, entry: WorkerEntry) -> "Worker":
         """Returns a worker without runs."""
-        return cls(entry, entry.capacity, entry.born)
+        return cls(entry, entry.capacity, entry.born, _confirmed_born=entry.born)
 
     def update_entry(self, entry: WorkerEntry) -> None:
         """Replaces the entry; its capacity may have changed after a restart."""
@@ -146,13 +150,26 @@
     def is_next_incarnation(self, born: int, sent_at: float) -> bool:
         """Returns whether a report shows an incarnation after the newest known one.
 
+        The newest known one had begun when it became known, and incarnations do not
+        overlap. So another one that answers a call which was sent after that has begun
+        later, also if a registry entry with a later start time has replaced it.
+
         Args:
             born: Start time in the report; 0 if it has none.
             sent_at: Monotonic time in seconds at which the report was requested.
         """
-        if born in (0, self.born) or born in self.former_borns:
+        if born in (0, self.born) or born in self._ended_borns:
             return False
-        return born > self.born or sent_at > self.born_known_at
+        began_later = born > self.born and born not in self.former_borns
+        return began_later or sent_at > self.born_known_at
+
+    def contradicts_entry(self, born: int) -> bool:
+        """Returns whether a report is of an incarnation that the entry has replaced.
+
+        Args:
+            born: Start time in the report.
+        """
+        return born in self.former_borns and born != self.entry.born
 
     def begin_incarnation(self, born: int, now: float) -> None:
         """Records a restart, after which the worker knows nothing of before.
@@ -166,6 +183,8 @@
             born: Start time of the new incarnation.
             now: Monotonic time in seconds.
         """
+        if born in self.former_borns:
+            self.former_borns.remove(born)
         self.former_borns.append(self.born)
         self.born, self.born_known_at = born, now
         self.acknowledged = self.last_end_number = 0
@@ -196,6 +215,32 @@
         run.unanswered += 1
         run.ordered_born, run.token_number = self.born, self.token_number
 
+    def record_heard(self) -> None:
+        """Records a report of the present incarnation.
+
+        Reports are requested one after the other, so another incarnation that has sent
+        the last one before it has ended.
+        """
+        if self._heard_born not in (0, self.born):
+            self._ended_borns.append(self._heard_born)
+        self._heard_born, self._heard_address = self.born, self.entry.address
+
+    @property
+    def has_answered_elsewhere(self) -> bool:
+        """Whether it has sent its last report from another address than the present.
+
+        The entry with the present address may be that of a former incarnation.
+        """
+        return self._heard_address not in ("", self.entry.address)
+
+    def is_replaceable_by(self, entry: WorkerEntry) -> bool:
+        """Returns whether the registry shows an entry that the silent worker may have.
+
+        It is ignored as that of a former incarnation, but the one that counts as the
+        present does not answer.
+        """
+        return entry.born != self.entry.born and self.silent_since is not None
+
     def confirm(self, clock: float, now: float, max_lease_s: float) -> None:
         """Records a report that was requested under the present token.
 
@@ -210,6 +255,7 @@
         """
         if self._restarted:
             self._restarted, self.restart_confirmed = False, True
+            self._confirmed_born = self.born
             latest = now + longest_lease_s(max_lease_s)
             self._leases_expire_at = max(self._leases_expire_at or latest, latest)
         self.record_answer(clock, now)
@@ -369,12 +415,13 @@
     def calls_end_at(self, run: Run, max_lease_s: float) -> float:
         """Returns when calls that a former incarnation was meant to get have no effect.
 
-        A run that an incarnation is known to have ends with the leases, or with that
-        incarnation. An order without an answer may be executed by an incarnation that
-        has begun since, known or not. Such an incarnation may also have accepted an
-        order, and any call that was sent for the former clock may give it the longest
-        lease. A ticket does not show which incarnation accepts its order: it may have
-        been given after a restart that nobody has seen.
+        A run that a confirmed incarnation is known to have ends with the leases, and
+        any run ends with its incarnation. A registry entry does not show that: it may
+        be that of a former one. An order without an answer may be executed by an
+        incarnation that has begun since, known or not. Such an incarnation may also
+        have accepted an order, and any call that was sent for the former clock may give
+        it the longest lease. A ticket does not show which incarnation accepts its
+        order: it may have been given after a restart that nobody has seen.
 
         Args:
             run: A run on this worker.
@@ -383,10 +430,10 @@
         Returns:
             Monotonic time in seconds; -inf if the leases alone decide.
         """
-        if not run.in_doubt and run.confirmed_born:
-            is_of_former_incarnation = run.confirmed_born != self.born
-            if is_of_former_incarnation or not self._restarted:
-                return -math.inf
+        born = run.confirmed_born
+        ends_with_leases = born in (self._confirmed_born, *self._ended_borns)
+        if born and not run.in_doubt and ends_with_leases:
+            return -math.inf
         return self._called_at + latest_order_end_s(max_lease_s)
 
     def assume_lease(self, expires_at: float) -> None:
