Tests: report an entry process that ends before it is ready, with its output

The soak waited 30 s for an entry VM that had ended, failed with a bare TaskTimeout and removed its logs.

The waits for the first answer did not look whether the process was still there, and a request of up to 60 s could hang past the limit of 30 s. Both waits now end with the exit of the process, or after 30 s, and the error contains the end of its output.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -99,6 +99,8 @@
 MAX_TRACES = 4
 # Seconds within which all processes must answer.
 START_TIMEOUT_S = 30.0
+# Newest part of the log of a process that an error shows.
+SHOWN_CHARACTERS = 4000
 # Seconds within which all jobs must end after the last fault, a bound of the sites.
 FINISH_S = 14.0
 # Longest task for which that bound is meant; longer ones take as much longer to end.
@@ -281,6 +283,12 @@
         """Returns whether the process has not ended."""
         return self.process.poll() is None
 
+    def check_start(self):
+        """Raises a RuntimeError with the end of the log if the process has ended."""
+        if not self.running():
+            log = self._log.read_text()[-SHOWN_CHARACTERS:]
+            raise RuntimeError(f"{self.name} did not start, log:\n{log}")
+
     def end(self):
         """Kills the process."""
         if self.process and self.running():
@@ -399,6 +407,7 @@
         async with curio.timeout_after(START_TIMEOUT_S):
             for entry in self._entries:
                 while (await self._request(entry.ready, "GET", "/v1/readyz"))[0] != 200:
+                    entry.check_start()
                     await curio.sleep(0.1)
         await curio.sleep(2.0)
 
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,5 +1,7 @@
 """Short runs of the fault soak: the daemon as real processes, faults from outside."""
 
+import socket
+
 import pytest
 
 from tests.platform.soak import Fault, SoakRun, make_plan
@@ -70,6 +72,23 @@
 }
 
 
+class TestStart:
+    """Pattern: an entry VM ends before it is ready."""
+
+    def test_ended_process_is_reported(self, tmp_path, monkeypatch):
+        """Guards against a wait until the time limit that does not name the cause."""
+        with socket.socket() as holder:
+
+            def take_port(ip):
+                holder.bind((ip, 0))
+                monkeypatch.undo()
+                return holder.getsockname()[1]
+
+            monkeypatch.setattr("tests.platform.soak.free_port", take_port)
+            with pytest.raises(RuntimeError, match="Address already in use"):
+                SoakRun([], 1, 1, tmp_path).play()
+
+
 class TestSoak:
     """Patterns: the orders of events of the independent review, and a random one."""
 
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -7,6 +7,7 @@
 import json
 import os
 import resource
+import socket
 import subprocess
 import sys
 import threading
@@ -32,6 +33,8 @@
 ANSWER_S = 60.0
 START_S = 30.0
 POLL_S = 0.05
+# Newest part of the output of a process that an error shows.
+SHOWN_CHARACTERS = 4000
 IP = "127.0.0.1"
 LIMITS = {
     "max-header-bytes": 16384,
@@ -195,11 +198,26 @@
         return None
 
     async def wait_until_ready(self):
-        """Waits until the daemon answers ordinary requests."""
-        give_up_at = time.monotonic() + START_S
-        while await self.ordinary_status() != 200:
-            assert time.monotonic() < give_up_at, "the daemon did not start"
-            await curio.sleep(POLL_S)
+        """Waits until the daemon answers ordinary requests.
+
+        Raises:
+            AssertionError: It has ended, or has not answered with 200 in time.
+        """
+        status = "none"
+        async with curio.ignore_after(START_S):
+            while self.process.poll() is None:
+                status = await self.ordinary_status()
+                if status == 200:
+                    return
+                await curio.sleep(POLL_S)
+        raise AssertionError(
+            f"the daemon did not start: exit code {self.process.poll()}, last status "
+            f"{status}, output:\n{self.output()}"
+        )
+
+    def output(self):
+        """Returns the newest output of the process."""
+        return Path(self._output.name).read_text()[-SHOWN_CHARACTERS:]
 
     def close(self):
         """Ends the process and the store."""
@@ -211,6 +229,23 @@
         self._output.close()
 
 
+class TestStart:
+    """Pattern: the daemon ends while a test waits for its first answer."""
+
+    def test_ended_process_is_reported(self, tmp_path, monkeypatch):
+        """Guards against a wait until the time limit that does not name the cause."""
+        with socket.socket() as holder:
+            holder.bind((IP, 0))
+            port = holder.getsockname()[1]
+            monkeypatch.setattr(f"{__name__}.free_port", lambda _ip: port)
+            entry = EntryProcess(tmp_path, 1000)
+            try:
+                with pytest.raises(AssertionError, match="Address already in use"):
+                    curio.run(entry.wait_until_ready)
+            finally:
+                entry.close()
+
+
 # One group, so that pytest-xdist runs them one at a time.
 @pytest.mark.xdist_group("untrusted_clients")
 class TestUntrustedClients:
@@ -289,7 +324,8 @@
 
     try:
         status = curio.run(main)
-        assert entry.process.poll() is None, "the process has ended"
+        has_ended = entry.process.poll() is not None
+        assert not has_ended, f"the process has ended, output:\n{entry.output()}"
         resident_mb = entry.peak_resident_mb()
         measured = f"status {status}, {resident_mb:.0f} MB, {entry.descriptors} fds"
         print(measured)
