HttpServer: name the address that cannot be listened on

A daemon whose port another process holds ended with "OSError: [Errno 98] Address already in use". A daemon has up to four ports, and only the error of the one between entry VMs, which is of ZeroMQ, named the address.

The error of the socket has no address; HttpServer adds it.

--- a/arbutusladder/httpserver.py
+++ b/arbutusladder/httpserver.py
@@ -43,6 +43,9 @@
         address: Address and port on which the server listens.
         open_requests: Requests without a complete response.
         closing: Whether to close each connection after its next response.
+
+    Raises:
+        OSError: It cannot listen on the address, which the error names.
     """
 
     def __init__(
@@ -58,7 +61,12 @@
         self._on_error = on_error
         self._limiter = limiter or trusted_limiter(max_body, max_connections)
         host, port = split_address(address)
-        self._sock = tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
+        try:
+            self._sock = tcp_server_socket(host, port, backlog=LISTEN_BACKLOG)
+        except OSError as error:
+            # The text of the error ends with the address.
+            error.filename = address
+            raise
         self.address = "{}:{}".format(*self._sock.getsockname()[:2])
         self._tasks: set[curio.Task] = set()
         self.open_requests = 0
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client and server on loopback."""
 
 import json
+import socket
 import time
 
 import curio
@@ -232,6 +233,17 @@
         assert found == (b"ok", False)
 
 
+class TestListen:
+    """Pattern: another process holds the port of a server."""
+
+    def test_error_names_the_address(self):
+        """Guards against a process of several ports that ends without naming one."""
+        with socket.create_server(("127.0.0.1", 0)) as holder:
+            address = f"127.0.0.1:{holder.getsockname()[1]}"
+            with pytest.raises(OSError, match=f"already in use: '{address}'"):
+                HttpServer(address, echo)
+
+
 class TestIdleTimeoutHandler:
     """Guards against ending an attempt that is slow but still receives bytes."""
 
