Tests: take ports that are bound later from addresses of this process alone

An entry VM of the soak once ended with "Address already in use" for its peer port.

free_port bound a port that the kernel chose and closed it again. Until the daemon bound it, 0.4 to 0.6 s later, another test process could get the same one, as test processes shared 127.0.0.1 to 127.0.0.3; a test of PeerTransport did the same by itself. The addresses of the soak depended on the process id modulo 32768, without a check.

Each test process now reserves a loopback network while it lives, as the scenarios do, and free_port refuses all other addresses. Outgoing connections have the address 127.0.0.1. Ports are below the usual range of those that the kernel chooses.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -1,10 +1,11 @@
 """Fakes of the platform's store and executors with fault injection."""
 
 import base64
+import errno
+import functools
 import itertools
 import json
 import math
-import os
 import random
 import socket
 import struct
@@ -15,35 +16,53 @@
 
 from arbutusladder.httpclient import HttpResponse
 from arbutusladder.httpserver import HttpRequest, HttpServer
+from tests.harness import reserve_network
 
 POLL_INTERVAL_S = 0.01
 # Shortest and longest time in seconds after which a late append is applied.
 LATE_APPEND_S = (1.0, 6.0)
 # Newest appends of a producer whose repeats get their first responses again.
 REPEATED_APPENDS = 5
-# Addresses that may not have been bound yet.
-_given_addresses: set[tuple[str, int]] = set()
+# Ports that are tried in turn; outgoing connections usually have higher ones.
+_ports = itertools.cycle(range(10_000, 32_768))
+
+
+@functools.cache
+def _reserved_network():
+    """Returns the loopback network of this process, and the socket that reserves it."""
+    return reserve_network()
 
 
 def loopback_ip(number):
-    """Returns a loopback address that processes of other tests hardly use.
+    """Returns a loopback address that no other test process uses.
 
     Args:
-        number: Number of the address, from 1 to 254.
+        number: Number of the address, from 1 to 253.
     """
-    process = os.getpid()
-    return f"127.{64 + process // 256 % 128}.{process % 256}.{number}"
+    network, _lock = _reserved_network()
+    return f"{network}.{number}"
 
 
 def free_port(ip):
-    """Returns a free TCP port of an address, each one once."""
-    while True:
+    """Returns a TCP port that stays free until it is bound.
+
+    Args:
+        ip: An address of `loopback_ip`.
+
+    Raises:
+        ValueError: Other processes may take ports of the address.
+    """
+    network, _lock = _reserved_network()
+    if ip.rpartition(".")[0] != network:
+        raise ValueError(f"{ip} is not reserved; use an address of loopback_ip")
+    for port in _ports:
         with socket.socket() as probe:
-            probe.bind((ip, 0))
-            address = probe.getsockname()
-        if address not in _given_addresses:
-            _given_addresses.add(address)
-            return address[1]
+            try:
+                probe.bind((ip, port))
+                return port
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE:
+                    raise
 
 
 def json_answer(status, body=None):
--- a/tests/platform/test_end_to_end.py
+++ b/tests/platform/test_end_to_end.py
@@ -14,7 +14,7 @@
 from arbutusladder.platform.__main__ import EXIT_CODE_TASK_FAILED, EntryDaemon
 from arbutusladder.platform.routes import RoutingTable
 from arbutusladder.platform.settings import load_settings
-from tests.platform.fakes import FakeExecutor, FakeStore, free_port
+from tests.platform.fakes import FakeExecutor, FakeStore, free_port, loopback_ip
 
 QUEUE_PREFIX = "/jobs/"
 QUEUE_HOST = "q.example"
@@ -82,7 +82,7 @@
         self.tasks.append(await curio.spawn(entry.run, daemon=True))
 
     def _write_settings(self, number):
-        ip = f"127.0.0.{number + 2}"
+        ip = loopback_ip(number + 2)
         front, ready, peer = (free_port(ip) for _ in range(3))
         self.client_addresses.append(f"{ip}:{front}")
         path = self.settings_directory / f"settings-{number}.json"
--- a/tests/platform/test_preview.py
+++ b/tests/platform/test_preview.py
@@ -12,7 +12,7 @@
 from arbutusladder.messages import Header
 from arbutusladder.platform import previewpage
 from tests.platform import test_end_to_end
-from tests.platform.fakes import free_port
+from tests.platform.fakes import free_port, loopback_ip
 from tests.platform.test_end_to_end import CellHarness, job_body, operator_config
 
 TENANT = {"name": "t", "api-keys": ["k"], "cap": {"cpu": 2500}}
@@ -25,7 +25,7 @@
         """Starts one entry VM with a metrics port."""
         config = operator_config(2) | {"tenants": [TENANT]}
         self.store.put_record("keyed.op", "config", config)
-        ip = f"127.0.0.{number + 2}"
+        ip = loopback_ip(number + 2)
         port = free_port(ip)
         self.metrics_addresses = [
             *getattr(self, "metrics_addresses", []),
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -18,7 +18,7 @@
 import pytest
 
 from tests.platform import untrustedclients
-from tests.platform.fakes import FakeStore, free_port
+from tests.platform.fakes import FakeStore, free_port, loopback_ip
 from tests.platform.test_end_to_end import operator_config
 from tests.platform.untrustedclients import Load, request_head, run_load
 
@@ -35,7 +35,6 @@
 POLL_S = 0.05
 # Newest part of the output of a process that an error shows.
 SHOWN_CHARACTERS = 4000
-IP = "127.0.0.1"
 LIMITS = {
     "max-header-bytes": 16384,
     "max-body-bytes": 1048576,
@@ -108,6 +107,7 @@
     """Runs the platform daemon in a process, with a fake store in a thread.
 
     Attributes:
+        ip: Address of its ports.
         front: Port for clients.
         ready: Port for readiness checks.
         peer: Port for other entry VMs.
@@ -121,11 +121,15 @@
         self._store_thread = threading.Thread(target=curio.run, args=(self._store,))
         self._store_thread.start()
         self._store_ready.wait()
-        self.front, self.ready, self.peer = (free_port(IP) for _ in range(3))
+        self.ip = loopback_ip(1)
+        self.front, self.ready, self.peer = (free_port(self.ip) for _ in range(3))
         settings = {
             "node": "edge-0",
-            "ip": IP,
-            "listen": {"front": f"{IP}:{self.front}", "ready": f"{IP}:{self.ready}"},
+            "ip": self.ip,
+            "listen": {
+                "front": f"{self.ip}:{self.front}",
+                "ready": f"{self.ip}:{self.ready}",
+            },
             "port-range": [self.peer, self.peer],
             "platform": {"address": self._store_address, "form": "log"},
         }
@@ -187,7 +191,7 @@
         """
         async with curio.ignore_after(ANSWER_S):
             try:
-                sock = await curio.open_connection(IP, self.front)
+                sock = await curio.open_connection(self.ip, self.front)
                 async with sock:
                     await curio.sleep(head_delay_s)
                     await sock.sendall(request_head("GET", "/jobs/"))
@@ -235,7 +239,7 @@
     def test_ended_process_is_reported(self, tmp_path, monkeypatch):
         """Guards against a wait until the time limit that does not name the cause."""
         with socket.socket() as holder:
-            holder.bind((IP, 0))
+            holder.bind((loopback_ip(1), 0))
             port = holder.getsockname()[1]
             monkeypatch.setattr(f"{__name__}.free_port", lambda _ip: port)
             entry = EntryProcess(tmp_path, 1000)
@@ -320,7 +324,7 @@
 
     async def main():
         await entry.wait_until_ready()
-        return await run_load(f"{IP}:{port}", load, LOAD_S, get_status)
+        return await run_load(f"{entry.ip}:{port}", load, LOAD_S, get_status)
 
     try:
         status = curio.run(main)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,5 @@
 """Tests of the message transport between entry VMs."""
 
-import socket
 import time
 
 import curio
@@ -15,6 +14,7 @@
     PeerLimits,
     PeerTransport,
 )
+from tests.platform.fakes import free_port, loopback_ip
 
 WAIT_S = 5.0
 
@@ -145,8 +145,8 @@
             async def record(received):
                 numbers.append(int(received.message.request_id))
 
-            with socket.create_server(("127.0.0.1", 0)) as server:
-                address = f"127.0.0.1:{server.getsockname()[1]}"
+            ip = loopback_ip(1)
+            address = f"{ip}:{free_port(ip)}"
             sender = PeerTransport(
                 "a", "127.0.0.1:0", {"b": address}, record, Clock(), Metrics()
             )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,10 +4,9 @@
 import pytest
 
 from arbutusladder.httpclient import split_address
-from tests.platform.fakes import free_port
+from tests.platform.fakes import free_port, loopback_ip
 from tests.relay import Route
 
-IP = "127.0.0.1"
 PATIENCE_S = 0.3
 ANSWER = b"answer to "
 
@@ -21,7 +20,8 @@
     """
 
     def __init__(self):
-        server, self.listen = (f"{IP}:{free_port(IP)}" for _ in range(2))
+        ip = loopback_ip(1)
+        server, self.listen = (f"{ip}:{free_port(ip)}" for _ in range(2))
         self._server_address = split_address(server)
         self.route = Route(self.listen, server)
         self.received: list[bytes] = []
