--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -7,6 +7,7 @@
 import json
 import os
 import resource
+import socket
 import subprocess
 import sys
 import threading
@@ -17,7 +18,7 @@
 import pytest
 
 from tests.platform import untrustedclients
-from tests.platform.fakes import FakeStore, free_port
+from tests.platform.fakes import FakeStore, free_port, loopback_ip
 from tests.platform.test_end_to_end import operator_config
 from tests.platform.untrustedclients import Load, request_head, run_load
 
@@ -32,7 +33,8 @@
 ANSWER_S = 60.0
 START_S = 30.0
 POLL_S = 0.05
-IP = "127.0.0.1"
+# Newest part of the output of a process that an error shows.
+SHOWN_CHARACTERS = 4000
 LIMITS = {
     "max-header-bytes": 16384,
     "max-body-bytes": 1048576,
@@ -105,6 +107,7 @@
     """Runs the platform daemon in a process, with a fake store in a thread.
 
     Attributes:
+        ip: Address of its ports.
         front: Port for clients.
         ready: Port for readiness checks.
         peer: Port for other entry VMs.
@@ -118,11 +121,15 @@
         self._store_thread = threading.Thread(target=curio.run, args=(self._store,))
         self._store_thread.start()
         self._store_ready.wait()
-        self.front, self.ready, self.peer = (free_port(IP) for _ in range(3))
+        self.ip = loopback_ip(1)
+        self.front, self.ready, self.peer = (free_port(self.ip) for _ in range(3))
         settings = {
             "node": "edge-0",
-            "ip": IP,
-            "listen": {"front": f"{IP}:{self.front}", "ready": f"{IP}:{self.ready}"},
+            "ip": self.ip,
+            "listen": {
+                "front": f"{self.ip}:{self.front}",
+                "ready": f"{self.ip}:{self.ready}",
+            },
             "port-range": [self.peer, self.peer],
             "platform": {"address": self._store_address, "form": "log"},
         }
@@ -184,7 +191,7 @@
         """
         async with curio.ignore_after(ANSWER_S):
             try:
-                sock = await curio.open_connection(IP, self.front)
+                sock = await curio.open_connection(self.ip, self.front)
                 async with sock:
                     await curio.sleep(head_delay_s)
                     await sock.sendall(request_head("GET", "/jobs/"))
@@ -195,11 +202,26 @@
         return None
 
     async def wait_until_ready(self):
-        """Waits until the daemon answers ordinary requests."""
-        give_up_at = time.monotonic() + START_S
-        while await self.ordinary_status() != 200:
-            assert time.monotonic() < give_up_at, "the daemon did not start"
-            await curio.sleep(POLL_S)
+        """Waits until the daemon answers ordinary requests.
+
+        Raises:
+            AssertionError: It has ended, or has not answered with 200 in time.
+        """
+        status = "none"
+        async with curio.ignore_after(START_S):
+            while self.process.poll() is None:
+                status = await self.ordinary_status()
+                if status == 200:
+                    return
+                await curio.sleep(POLL_S)
+        raise AssertionError(
+            f"the daemon did not start: exit code {self.process.poll()}, last status "
+            f"{status}, output:\n{self.output()}"
+        )
+
+    def output(self):
+        """Returns the newest output of the process."""
+        return Path(self._output.name).read_text()[-SHOWN_CHARACTERS:]
 
     def close(self):
         """Ends the process and the store."""
@@ -211,6 +233,23 @@
         self._output.close()
 
 
+class TestStart:
+    """Pattern: the daemon ends while a test waits for its first answer."""
+
+    def test_ended_process_is_reported(self, tmp_path, monkeypatch):
+        """Guards against a wait until the time limit that does not name the cause."""
+        with socket.socket() as holder:
+            holder.bind((loopback_ip(1), 0))
+            port = holder.getsockname()[1]
+            monkeypatch.setattr(f"{__name__}.free_port", lambda _ip: port)
+            entry = EntryProcess(tmp_path, 1000)
+            try:
+                with pytest.raises(AssertionError, match="Address already in use"):
+                    curio.run(entry.wait_until_ready)
+            finally:
+                entry.close()
+
+
 # One group, so that pytest-xdist runs them one at a time.
 @pytest.mark.xdist_group("untrusted_clients")
 class TestUntrustedClients:
@@ -285,11 +324,12 @@
 
     async def main():
         await entry.wait_until_ready()
-        return await run_load(f"{IP}:{port}", load, LOAD_S, get_status)
+        return await run_load(f"{entry.ip}:{port}", load, LOAD_S, get_status)
 
     try:
         status = curio.run(main)
-        assert entry.process.poll() is None, "the process has ended"
+        has_ended = entry.process.poll() is not None
+        assert not has_ended, f"the process has ended, output:\n{entry.output()}"
         resident_mb = entry.peak_resident_mb()
         measured = f"status {status}, {resident_mb:.0f} MB, {entry.descriptors} fds"
         print(measured)
