Send calls to workers in time or not at all

A task can run twice: a process is paused while it connects to a worker, goes on 20 s later and sends its order then. The owner counts 12 s from its note of the order, so the order is no longer in doubt when its bytes leave. A restarted worker, or one that a successor does not reach, may execute it.

Cause: nothing bounds the time between the check of the permission and the system call that writes. A connect that the kernel has completed during the pause counts as done, `HttpConnection.connect` is repeated once after a pause, and the rest of a request that waited for room in the send buffer is written before curio delivers the timeout. A pause between the check and the client is not noticed either.

Change: a start or a renewal carries the latest time at which a byte of it may be sent, 0.7 s after a time that is read before the check, by the clock that includes suspensions. The client compares it right before each system call that writes. Too late without a byte is `not_sent`, otherwise `unknown`. Calls that only stop or pace runs have no such time.

--- a/arbutusladder/cell/interfaces.py
+++ b/arbutusladder/cell/interfaces.py
@@ -313,7 +313,12 @@
     """Sends orders and lease renewals to workers."""
 
     async def start(
-        self, worker: WorkerEntry, order: StartOrder, token: FencingToken, until: float
+        self,
+        worker: WorkerEntry,
+        order: StartOrder,
+        token: FencingToken,
+        until: float,
+        send_by: float,
     ) -> OrderAnswer:
         """Starts a task under a lease.
 
@@ -322,6 +327,8 @@
             order: The order.
             token: Fencing token.
             until: End of the lease in seconds on the worker's clock.
+            send_by: Latest time at which a byte of the call may be sent, see
+                `Clock.now_with_suspensions`.
         """
 
     async def stop(
@@ -341,6 +348,7 @@
         acknowledged: int,
         until: float | None,
         wait: float,
+        send_by: float,
     ) -> WorkerReport | OrderAnswer:
         """Renews the lease of a worker and reads its report.
 
@@ -351,6 +359,7 @@
             until: New end of the lease in seconds on the worker's clock; None to
                 grant no lease.
             wait: Seconds that the worker may wait for a change to report.
+            send_by: As for `start`.
 
         Returns:
             The report, or the outcome if there is none.
--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -15,6 +15,7 @@
 from arbutusladder.cell.fencing import fencing_token
 from arbutusladder.cell.interfaces import OrderAnswer, WorkerReport
 from arbutusladder.cell.logretry import retry_until_answered
+from arbutusladder.cell.runs import MAX_SEND_DELAY_S
 from arbutusladder.cell.states import OrderOutcome
 from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
@@ -86,6 +87,7 @@
                 await curio.sleep(HELD_ENDS_DELAY_S)
                 if self._state.worker_by_vm.get(vm) is not worker:
                     continue
+            send_by = self._clock.now_with_suspensions() + MAX_SEND_DELAY_S
             sent_at = self._clock.now()
             unacknowledged_ends = worker.last_end_number > worker.acknowledged
             poll_timeout_s = (
@@ -110,6 +112,7 @@
                 acknowledged,
                 lease_end,
                 poll_timeout_s,
+                send_by,
             )
             if isinstance(answer, WorkerReport):
                 answer = replace(answer, token_number=token_number)
--- a/arbutusladder/cell/owner.py
+++ b/arbutusladder/cell/owner.py
@@ -44,6 +44,7 @@
 from arbutusladder.cell.pruning import FinishedJobPruner
 from arbutusladder.cell.registry import WorkerRegistry
 from arbutusladder.cell.runorders import RunOrderSender
+from arbutusladder.cell.runs import MAX_SEND_DELAY_S
 from arbutusladder.cell.states import OrderOutcome
 from arbutusladder.cell.workers import latest_order_end_s, longest_lease_s
 from arbutusladder.errors import LogUnavailable
@@ -690,6 +691,7 @@
         """
         worker = self.state.worker_by_vm.get(order.vm)
         run = worker and worker.run_by_key.get((order.task, order.run))
+        send_by = self._clock.now_with_suspensions() + MAX_SEND_DELAY_S
         if run is None or worker.entry.draining or not self.may_start_tasks():
             return OrderAnswer(OrderOutcome.NOT_SENT)
         now = self._clock.now()
@@ -700,7 +702,9 @@
         number, entry = worker.token_number, worker.entry
         token = fencing_token(self.epoch, number)
         copies = run.copies
-        answer = await self._dependencies.orders.start(entry, order, token, lease_end)
+        answer = await self._dependencies.orders.start(
+            entry, order, token, lease_end, send_by
+        )
         if answer.outcome is OrderOutcome.UNKNOWN:
             self._dependencies.journal.write(
                 events.ORDER_UNANSWERED,
--- a/arbutusladder/cell/runs.py
+++ b/arbutusladder/cell/runs.py
@@ -9,6 +9,9 @@
 from arbutusladder.messages import Resources, StepSpec
 
 RunKey = tuple[str, int]
+# Seconds after the check of its permission in which a call to a worker may be sent; by
+# then it is connected, or given up.
+MAX_SEND_DELAY_S = 0.7
 # Seconds after which no worker executes an order any more that got no answer. The
 # users' workers carry late orders out up to 12 s after they were sent.
 MAX_ORDER_DELAY_S = 12.0
--- a/arbutusladder/httpclient.py
+++ b/arbutusladder/httpclient.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 client on curio and h11; one request at a time per connection."""
 
 import ipaddress
+import math
+import os
 import select
 import struct
 import time
@@ -10,8 +12,9 @@
 import curio
 import h11
 from curio import socket
+from curio.traps import _write_wait
 
-from arbutusladder.clock import TIMER_PAUSE_THRESHOLD_S
+from arbutusladder.clock import TIMER_PAUSE_THRESHOLD_S, Clock
 from arbutusladder.errors import HttpError
 from arbutusladder.messages import Header
 from arbutusladder.states import Reason
@@ -73,6 +76,7 @@
     def __init__(self, address: str, sock: "socket.socket"):
         self.address = address
         self._sock = sock
+        self._clock = Clock()
         self._protocol = h11.Connection(h11.CLIENT)
         self._idle_timeout: float | None = None
         self._on_idle_timeout: IdleTimeoutHandler | None = None
@@ -116,6 +120,7 @@
         max_body: int = DEFAULT_MAX_BODY_BYTES,
         idle_timeout: float | None = None,
         on_idle_timeout: "IdleTimeoutHandler | None" = None,
+        send_by: float = math.inf,
     ) -> HttpResponse:
         """Sends one request and reads the complete response.
 
@@ -131,6 +136,8 @@
                 request. No limit by default.
             on_idle_timeout: Returns whether to give up with an attempt timeout
                 instead of continuing to read.
+            send_by: Latest time at which a byte of the request may be sent, see
+                `Clock.now_with_suspensions`.
 
         Raises:
             HttpError: There is no complete response; ``sent`` is true if any byte
@@ -142,7 +149,7 @@
         self._on_idle_timeout = on_idle_timeout
         try:
             async with curio.timeout_after(timeout):
-                await self._send(data)
+                await self._send(data, send_by)
                 response = await self._read_response(method, max_body)
         except curio.TaskTimeout as error:
             raise self._error(Reason.ATTEMPT_TIMEOUT, error) from error
@@ -223,17 +230,31 @@
             self.bytes_transferred += len(data)
             self._protocol.receive_data(data)
 
-    async def _send(self, data: bytes) -> None:
+    async def _send(self, data: bytes, send_by: float) -> None:
         self.bytes_transferred += len(data)
         if self._idle_timeout is None:
-            await self._sock.sendall(data)
+            await self._send_all(data, send_by)
             return
         try:
             async with curio.timeout_after(self._idle_timeout):
-                await self._sock.sendall(data)
+                await self._send_all(data, send_by)
         except curio.TaskTimeout as error:
             raise self._error(Reason.ATTEMPT_TIMEOUT, error) from error
 
+    async def _send_all(self, data: bytes, send_by: float) -> None:
+        unsent = memoryview(data)
+        while unsent:
+            # The timeouts of curio do not suffice: a task that can go on after a pause
+            # of the process does so, and learns of its timeout when it waits again.
+            if self._clock.now_with_suspensions() > send_by:
+                detail = f"{self.address}: too late to send the request"
+                is_sent = len(unsent) < len(data)
+                raise HttpError(Reason.ATTEMPT_TIMEOUT, detail, sent=is_sent)
+            try:
+                unsent = unsent[os.write(self._sock.fileno(), unsent) :]
+            except BlockingIOError:
+                await _write_wait(self._sock)
+
     async def _receive(self) -> bytes:
         if self._idle_timeout is None:
             return await self._sock.recv(READ_SIZE_BYTES)
--- a/arbutusladder/httppool.py
+++ b/arbutusladder/httppool.py
@@ -3,6 +3,8 @@
 `HttpConnectionPool` owns the idle connections.
 """
 
+import math
+
 from arbutusladder.clock import Clock
 from arbutusladder.httpclient import HttpConnection, HttpResponse
 from arbutusladder.messages import Header
@@ -40,6 +42,7 @@
         body: bytes,
         timeout: float,
         idle_timeout: float | None = None,
+        send_by: float = math.inf,
     ) -> HttpResponse:
         """Sends one request and returns the complete response.
 
@@ -53,6 +56,8 @@
             idle_timeout: Seconds without a byte of the response after which the
                 exchange is ended with an error; a large response over a slow link keeps
                 sending bytes and may take longer.
+            send_by: Latest time at which a byte of the request may be sent, see
+                `Clock.now_with_suspensions`.
 
         Raises:
             HttpError: There is no complete response; ``sent`` is true if the
@@ -70,6 +75,7 @@
                 timeout,
                 idle_timeout=idle_timeout,
                 on_idle_timeout=_give_up,
+                send_by=send_by,
             )
         except BaseException:
             await connection.close()
--- a/arbutusladder/platform/workers.py
+++ b/arbutusladder/platform/workers.py
@@ -4,6 +4,7 @@
 the owner, under a lease that the owner renews.
 """
 
+import math
 import re
 from http import HTTPStatus
 from typing import get_args
@@ -159,7 +160,12 @@
         self._metrics = metrics
 
     async def start(
-        self, worker: WorkerEntry, order: StartOrder, token: FencingToken, until: float
+        self,
+        worker: WorkerEntry,
+        order: StartOrder,
+        token: FencingToken,
+        until: float,
+        send_by: float,
     ) -> OrderAnswer:
         """See `arbutusladder.cell.interfaces.OrderSender.start`."""
         body: dict[str, object] = {
@@ -173,7 +179,7 @@
             body["saved"] = order.saved
         if order.ticket:
             body["ticket"] = order.ticket
-        return await self._send_order(worker, "/v1/run-start", body)
+        return await self._send_order(worker, "/v1/run-start", body, send_by)
 
     async def stop(
         self, worker: WorkerEntry, order: StopOrder, token: FencingToken
@@ -201,6 +207,7 @@
         acknowledged: int,
         until: float | None,
         wait: float,
+        send_by: float,
     ) -> WorkerReport | OrderAnswer:
         """See `arbutusladder.cell.interfaces.OrderSender.renew`."""
         body: dict[str, object] = {"fence": token, "observed": acknowledged}
@@ -210,7 +217,7 @@
             body["wait-ms"] = int(wait * 1000)
         try:
             status, reply = await self._call(
-                worker, "/v1/hold", body, wait + RENEW_TIMEOUT_S
+                worker, "/v1/hold", body, wait + RENEW_TIMEOUT_S, send_by
             )
         except HttpError as error:
             return OrderAnswer(_failure_outcome(error))
@@ -230,21 +237,34 @@
         return WorkerReport(reply.born, reply.clock_ms / 1000, running, ended)
 
     async def _send_order(
-        self, worker: WorkerEntry, path: str, body: dict
+        self, worker: WorkerEntry, path: str, body: dict, send_by: float = math.inf
     ) -> OrderAnswer:
         try:
-            status, reply = await self._call(worker, path, body, ORDER_TIMEOUT_S)
+            status, reply = await self._call(
+                worker, path, body, ORDER_TIMEOUT_S, send_by
+            )
         except HttpError as error:
             return OrderAnswer(_failure_outcome(error))
         return _order_answer(status, reply)
 
     async def _call(
-        self, worker: WorkerEntry, path: str, body: dict, timeout: float
+        self,
+        worker: WorkerEntry,
+        path: str,
+        body: dict,
+        timeout: float,
+        send_by: float,
     ) -> tuple[int, _Reply]:
         """Sends a request; an undecodable body counts as an empty reply."""
         headers = [JSON_HEADER, Header(INSTANCE_HEADER, worker.vm)]
         answer = await self._pool.request(
-            worker.address, "POST", path, headers, msgspec.json.encode(body), timeout
+            worker.address,
+            "POST",
+            path,
+            headers,
+            msgspec.json.encode(body),
+            timeout,
+            send_by=send_by,
         )
         try:
             return answer.status, decode_json(answer.body, _Reply)
--- a/tests/cell/exploreworkers.py
+++ b/tests/cell/exploreworkers.py
@@ -264,7 +264,7 @@
         self._process, self._worker_by_vm = process, worker_by_vm
         self._network = network
 
-    async def start(self, worker, order, token, until):
+    async def start(self, worker, order, token, until, send_by):
         """See `OrderSender.start`."""
         target = self._target(worker)
         args = (target.start, order, token, until)
@@ -281,7 +281,7 @@
         target = self._target(worker)
         return await self._send(target, ORDER_TIMEOUT_S, (target.pace, order, token))
 
-    async def renew(self, worker, token, acknowledged, until, wait):
+    async def renew(self, worker, token, acknowledged, until, wait, send_by):
         """See `OrderSender.renew`."""
         target = self._target(worker)
         args = (target.renew, token, acknowledged, until, wait)
--- a/tests/cell/inprocess.py
+++ b/tests/cell/inprocess.py
@@ -156,7 +156,7 @@
         """Returns the ids of the jobs of which tasks have started."""
         return {task.partition(".")[0] for _, _, task in self.starts}
 
-    async def start(self, worker, order, token, until):
+    async def start(self, worker, order, token, until, send_by):
         """See `OrderSender.start`."""
         now, vm = self._clock.now(), worker.vm
         if token < self._fence_by_vm[vm]:
@@ -177,7 +177,7 @@
         """See `OrderSender.pace`."""
         return OrderAnswer(OrderOutcome.ACCEPTED, self._clock.now())
 
-    async def renew(self, worker, token, acknowledged, until, wait):
+    async def renew(self, worker, token, acknowledged, until, wait, send_by):
         """See `OrderSender.renew`."""
         vm = worker.vm
         if token < self._fence_by_vm[vm]:
--- a/tests/cell/test_endsofdoubts.py
+++ b/tests/cell/test_endsofdoubts.py
@@ -120,7 +120,7 @@
 class TestRemovedWorker:
     """Pattern: a worker with held ends is removed and registered again meanwhile."""
 
-    async def _renew(self, worker, token, acknowledged, until, wait):
+    async def _renew(self, worker, token, acknowledged, until, wait, send_by):
         known = self.state.worker_by_vm[ENTRY.vm]
         self.sent.append((until, known.lease_s_left(self.clock.now())))
         await curio.sleep(10.0)
--- a/tests/cell/test_explorehostile.py
+++ b/tests/cell/test_explorehostile.py
@@ -1,5 +1,6 @@
 """Tests of the workers of the search that do all that the users' pages allow."""
 
+import math
 import time
 
 import curio
@@ -48,7 +49,7 @@
         order = StartOrder(WORKER, TASK, number, "payload", "", "")
         until = self.worker.clock() + lease_s
         entry = entry or self.worker.entry
-        return (await self.sender.start(entry, order, TOKEN, until)).outcome
+        return (await self.sender.start(entry, order, TOKEN, until, math.inf)).outcome
 
     async def stop(self, number):
         """Returns the outcome of a stop order."""
@@ -57,7 +58,7 @@
 
     async def report(self):
         """Returns the answer to a renewal without a lease."""
-        return await self.sender.renew(self.worker.entry, TOKEN, 0, None, 0.0)
+        return await self.sender.renew(self.worker.entry, TOKEN, 0, None, 0.0, math.inf)
 
     @property
     def runs(self):
--- a/tests/cell/test_owner.py
+++ b/tests/cell/test_owner.py
@@ -60,14 +60,16 @@
         outcomes: Outcomes of the next orders.
         before_answer: Coroutine function that is called with the worker before each
             answer; None for none.
+        send_by: Latest time to send the newest order.
     """
 
     def __init__(self, *outcomes):
         self.outcomes = list(outcomes)
-        self.before_answer = None
+        self.before_answer = self.send_by = None
 
-    async def start(self, worker, order, epoch, until):
+    async def start(self, worker, order, epoch, until, send_by):
         """Answers with the next outcome."""
+        self.send_by = send_by
         if self.before_answer:
             await self.before_answer(worker)
         return OrderAnswer(self.outcomes.pop(0))
@@ -324,6 +326,24 @@
         handled_by_answer[answer](number, clock.now_with_suspensions())
         assert owner.may_give_orders()
 
+    @pytest.mark.parametrize("pause", ["advance", "suspend"])
+    def test_order_after_a_pause_behind_the_check_may_not_be_sent(self, pause):
+        """Guards against a check of the permission that counts for a later order."""
+        orders = ScriptedOrders(OrderOutcome.ACCEPTED, OrderOutcome.ACCEPTED)
+        owner, clock = make_owner(["b"], orders)
+        assert self.send_start(owner, clock)
+        assert orders.send_by > clock.now_with_suspensions()
+        may_start_tasks = owner.may_start_tasks
+
+        def check():
+            allowed = may_start_tasks()
+            getattr(clock, pause)(EVIDENCE_VALIDITY_S)
+            return allowed
+
+        owner.may_start_tasks = check
+        assert self.send_start(owner, clock)
+        assert orders.send_by < clock.now_with_suspensions()
+
     def test_heartbeat_of_an_earlier_epoch_confirms_nothing(self):
         """Guards against an entry VM that still knows an earlier owner on this VM."""
         owner, clock = make_owner(["b"], ScriptedOrders())
--- a/tests/cell/test_replacedowner.py
+++ b/tests/cell/test_replacedowner.py
@@ -26,18 +26,18 @@
     def is_cut(worker, token):
         return (token_epoch(token) == old_epoch) != (worker.vm == used_vm)
 
-    async def cut_renew(worker, token, acknowledged, until, wait):
+    async def cut_renew(worker, token, acknowledged, until, wait, send_by):
         if is_cut(worker, token):
             await curio.sleep(0.5)
             return OrderAnswer(OrderOutcome.NOT_SENT)
         if token_epoch(token) == old_epoch and until is not None:
             leases.append(Clock().now())
-        return await renew(worker, token, acknowledged, until, wait)
+        return await renew(worker, token, acknowledged, until, wait, send_by)
 
-    async def cut_start(worker, order, token, until):
+    async def cut_start(worker, order, token, until, send_by):
         if is_cut(worker, token):
             return OrderAnswer(OrderOutcome.NOT_SENT)
-        return await start(worker, order, token, until)
+        return await start(worker, order, token, until, send_by)
 
     workers.renew, workers.start = cut_renew, cut_start
     return leases
--- a/tests/cell/test_runstakenforended.py
+++ b/tests/cell/test_runstakenforended.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 import pytest
 
@@ -290,7 +291,7 @@
         orders = owner._dependencies.orders
 
         async def stop(worker, order, token):
-            return await orders.start(worker, order, token, 0.0)
+            return await orders.start(worker, order, token, 0.0, math.inf)
 
         orders.stop = stop
         order = make_order(owner, clock)
--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -1,6 +1,7 @@
 """Tests of the client of the platform's executors against scripted responses."""
 
 import json
+import math
 
 import curio
 import msgspec
@@ -36,7 +37,7 @@
         entry = workloads.workers()[0]
         object.__setattr__(entry, "address", server.address)
         client = PlatformWorkerClient(HttpConnectionPool(Clock()), Metrics())
-        return await client.renew(entry, 1, 0, 10.0, 0.0)
+        return await client.renew(entry, 1, 0, 10.0, 0.0, math.inf)
 
     return curio.run(main)
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,11 +1,13 @@
 """Tests of the HTTP client and server on loopback."""
 
 import json
+import socket
 import time
 
 import curio
 import pytest
 
+from arbutusladder.clock import Clock
 from arbutusladder.errors import HttpError
 from arbutusladder.httpclient import HttpConnection, HttpResponse, request
 from arbutusladder.httpserver import HttpServer
@@ -172,6 +174,62 @@
         assert run_with_raw_server(script, client) == (Reason.ATTEMPT_TIMEOUT, False)
 
 
+class TestUnsentBytes:
+    """Pattern: the server reads too slowly to take a whole request at once."""
+
+    BODY = bytes(1_000_000)
+    BUFFER_BYTES = 8192
+    # Real seconds without a byte after which the client has sent what it can.
+    QUIET_S = 0.25
+
+    def listen(self):
+        """Returns a listener whose connections take few bytes."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        return listener, "{}:{}".format(*listener.getsockname())
+
+    def drain(self, connection):
+        """Returns how many bytes arrive until none does for some time."""
+        connection.settimeout(self.QUIET_S)
+        size = 0
+        try:
+            while data := connection.recv(65536):
+                size += len(data)
+        except (TimeoutError, ConnectionResetError):
+            pass
+        return size
+
+    def test_rest_of_a_request_is_not_sent_after_a_pause(self):
+        """Guards against a request that a pause of the process makes complete late."""
+        listener, address = self.listen()
+
+        async def main():
+            connection = await HttpConnection.connect(address, 1)
+            size = self.BUFFER_BYTES
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+            server, _ = listener.accept()
+
+            async def pause():
+                assert 0 < self.drain(server) < len(self.BODY)
+                time.sleep(20.0)
+
+            await curio.spawn(pause, daemon=True)
+            send_by = Clock().now_with_suspensions() + 0.7
+            with pytest.raises(HttpError) as caught:
+                await connection.exchange(
+                    "POST", "/", [], self.BODY, 60.0, send_by=send_by
+                )
+            rest = self.drain(server)
+            await connection.abort()
+            server.close()
+            return caught.value.sent, rest
+
+        with listener:
+            assert run_in_virtual_time(main) == (True, 0)
+
+
 def answer_script(*parts, pause=0.0):
     async def script(connection):
         await connection.recv(1000)
