Discard unsent calls when their connection is closed

A worker that is behind a relay or that reads slowly can get a call that was given up, with no bound in time: the whole request is in the send buffer, the client closes the connection after its timeout, and the kernel goes on sending. The same happens if the process is killed.

Cause: connections of the pool were closed and not aborted after a failure.

Change: a connection has SO_LINGER of zero from the connect on, so that the kernel discards unsent bytes whoever closes it. `close` without a request that waits for its response closes in order, as before. This costs one system call at each end of a connection, and none for a call.

--- a/arbutusladder/httpclient.py
+++ b/arbutusladder/httpclient.py
@@ -25,6 +25,7 @@
 # SO_LINGER with a timeout of zero: close discards unsent bytes and resets the
 # connection.
 ABORT_LINGER = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 0, 0)
 _FAMILY_BY_IP_VERSION = {4: socket.AF_INET, 6: socket.AF_INET6}
 
 
@@ -80,8 +81,11 @@
         self._protocol = h11.Connection(h11.CLIENT)
         self._idle_timeout: float | None = None
         self._on_idle_timeout: IdleTimeoutHandler | None = None
+        self._is_answered = True
         self.usable = True
         self.bytes_transferred = 0
+        # Also holds if the process is killed: what is unsent does not arrive later.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER)
 
     @classmethod
     async def connect(cls, address: str, timeout: float) -> "HttpConnection":
@@ -144,7 +148,7 @@
                 of the request may have reached the server.
         """
         data = self._encode(method, path, headers, body)
-        self.usable = False
+        self.usable = self._is_answered = False
         self._idle_timeout = idle_timeout
         self._on_idle_timeout = on_idle_timeout
         try:
@@ -157,20 +161,21 @@
             raise self._error(Reason.CONNECTION_LOST, error) from error
         except h11.RemoteProtocolError as error:
             raise self._error(Reason.ANSWER_INCOMPLETE, error) from error
+        self._is_answered = True
         self._prepare_reuse()
         return response
 
     async def close(self) -> None:
-        """Closes the connection."""
+        """Closes the connection; discards unsent bytes without a response."""
         self.usable = False
+        if self._is_answered:
+            self._is_answered = False
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
         await self._sock.close()
 
     async def abort(self) -> None:
-        """Closes the connection and discards unsent bytes.
-
-        A request in the send buffer must not reach the server later.
-        """
-        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, ABORT_LINGER)
+        """Closes the connection and discards unsent bytes."""
+        self._is_answered = False
         await self.close()
 
     def is_reusable(self) -> bool:
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,8 @@
 
 import json
 import socket
+import subprocess
+import sys
 import time
 
 import curio
@@ -15,6 +17,29 @@
 from arbutusladder.states import Reason
 from tests.virtualtime import run_in_virtual_time
 
+# Sends a request and reports that it is in the send buffer. Arguments: address, bytes
+# of the body, seconds.
+CLIENT_PROGRAM = """
+import sys
+
+import curio
+
+from arbutusladder.clock import Clock
+from arbutusladder.httppool import HttpConnectionPool
+
+async def main():
+    async def report():
+        await curio.sleep(0.3)
+        print("sent", flush=True)
+
+    await curio.spawn(report, daemon=True)
+    pool = HttpConnectionPool(Clock())
+    body = bytes(int(sys.argv[2]))
+    await pool.request(sys.argv[1], "POST", "/", [], body, float(sys.argv[3]))
+
+curio.run(main)
+"""
+
 
 async def echo(http_request):
     return HttpResponse(200, [], http_request.method.encode() + http_request.body)
@@ -229,6 +254,37 @@
         with listener:
             assert run_in_virtual_time(main) == (True, 0)
 
+    @pytest.mark.parametrize("is_killed", [False, True])
+    def test_unsent_bytes_are_discarded(self, is_killed):
+        """Guards against a request that arrives after it was given up.
+
+        The client gives it up, or its process is killed, while it is in the send
+        buffer as a whole.
+        """
+        listener, address = self.listen()
+        size, timeout_s = 100_000, 60.0 if is_killed else 0.6
+        command = [
+            sys.executable,
+            "-c",
+            CLIENT_PROGRAM,
+            address,
+            str(size),
+            str(timeout_s),
+        ]
+        with (
+            listener,
+            subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+            ) as client,
+        ):
+            server, _ = listener.accept()
+            assert client.stdout.readline() == b"sent\n"
+            if is_killed:
+                client.kill()
+            client.wait()
+            with server:
+                assert self.drain(server) < size
+
 
 def answer_script(*parts, pause=0.0):
     async def script(connection):
