--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,11 +2,14 @@
 
 import json
 import socket
+import subprocess
+import sys
 import time
 
 import curio
 import pytest
 
+from arbutusladder.clock import Clock
 from arbutusladder.errors import HttpError
 from arbutusladder.httpclient import HttpConnection, HttpResponse, request
 from arbutusladder.httpserver import HttpServer
@@ -14,6 +17,29 @@
 from arbutusladder.states import Reason
 from tests.virtualtime import run_in_virtual_time
 
+# Sends a request and reports that it is in the send buffer. Arguments: address, bytes
+# of the body, seconds.
+CLIENT_PROGRAM = """
+import sys
+
+import curio
+
+from arbutusladder.clock import Clock
+from arbutusladder.httppool import HttpConnectionPool
+
+async def main():
+    async def report():
+        await curio.sleep(0.3)
+        print("sent", flush=True)
+
+    await curio.spawn(report, daemon=True)
+    pool = HttpConnectionPool(Clock())
+    body = bytes(int(sys.argv[2]))
+    await pool.request(sys.argv[1], "POST", "/", [], body, float(sys.argv[3]))
+
+curio.run(main)
+"""
+
 
 async def echo(http_request):
     return HttpResponse(200, [], http_request.method.encode() + http_request.body)
@@ -173,6 +199,93 @@
         assert run_with_raw_server(script, client) == (Reason.ATTEMPT_TIMEOUT, False)
 
 
+class TestUnsentBytes:
+    """Pattern: the server reads too slowly to take a whole request at once."""
+
+    BODY = bytes(1_000_000)
+    BUFFER_BYTES = 8192
+    # Real seconds without a byte after which the client has sent what it can.
+    QUIET_S = 0.25
+
+    def listen(self):
+        """Returns a listener whose connections take few bytes."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.BUFFER_BYTES)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        return listener, "{}:{}".format(*listener.getsockname())
+
+    def drain(self, connection):
+        """Returns how many bytes arrive until none does for some time."""
+        connection.settimeout(self.QUIET_S)
+        size = 0
+        try:
+            while data := connection.recv(65536):
+                size += len(data)
+        except (TimeoutError, ConnectionResetError):
+            pass
+        return size
+
+    def test_rest_of_a_request_is_not_sent_after_a_pause(self):
+        """Guards against a request that a pause of the process makes complete late."""
+        listener, address = self.listen()
+
+        async def main():
+            connection = await HttpConnection.connect(address, 1)
+            size = self.BUFFER_BYTES
+            connection._sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
+            server, _ = listener.accept()
+
+            async def pause():
+                assert 0 < self.drain(server) < len(self.BODY)
+                time.sleep(20.0)
+
+            await curio.spawn(pause, daemon=True)
+            send_by = Clock().now_with_suspensions() + 0.7
+            with pytest.raises(HttpError) as caught:
+                await connection.exchange(
+                    "POST", "/", [], self.BODY, 60.0, send_by=send_by
+                )
+            rest = self.drain(server)
+            await connection.abort()
+            server.close()
+            return caught.value.sent, rest
+
+        with listener:
+            assert run_in_virtual_time(main) == (True, 0)
+
+    @pytest.mark.parametrize("is_killed", [False, True])
+    def test_unsent_bytes_are_discarded(self, is_killed):
+        """Guards against a request that arrives after it was given up.
+
+        The client gives it up, or its process is killed, while it is in the send
+        buffer as a whole.
+        """
+        listener, address = self.listen()
+        size, timeout_s = 100_000, 60.0 if is_killed else 0.6
+        command = [
+            sys.executable,
+            "-c",
+            CLIENT_PROGRAM,
+            address,
+            str(size),
+            str(timeout_s),
+        ]
+        with (
+            listener,
+            subprocess.Popen(
+                command, stdout=subprocess.PIPE, stderr=subprocess.DEVNULL
+            ) as client,
+        ):
+            server, _ = listener.accept()
+            assert client.stdout.readline() == b"sent\n"
+            if is_killed:
+                client.kill()
+            client.wait()
+            with server:
+                assert self.drain(server) < size
+
+
 def answer_script(*parts, pause=0.0):
     async def script(connection):
         await connection.recv(1000)
