Answer renewals when a doubt of the worker's runs ends

Callers saw jobs end more than 14 s after a worker had restarted. An order without an answer is in doubt for 12 s, and then only a complete report that was requested later settles it. A worker without runs held each renewal for 2.0 s, so the report came 14 to 16 s after the order. After a late acceptance of an unsettled run, too, two held renewals were waited for.

The wait of a renewal now ends when the earliest doubt of the worker's runs ends, and the first renewal after it is answered at once. A doubt gets one such renewal, also if the report is dropped or does not settle it. While many doubts end one after another, or a worker answers early, at most two renewals are sent in 0.2 s. Without runs in doubt the waits are those of before. The time after which a report settles a run is a function of `unsettledruns`, which the renewer and the settling share.

The soak was not run.

--- a/arbutusladder/cell/leaserenewer.py
+++ b/arbutusladder/cell/leaserenewer.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import math
+from collections.abc import Collection
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
@@ -15,7 +17,9 @@
 from arbutusladder.cell.fencing import fencing_token
 from arbutusladder.cell.interfaces import OrderAnswer, WorkerReport
 from arbutusladder.cell.logretry import retry_until_answered
+from arbutusladder.cell.runs import Run
 from arbutusladder.cell.states import OrderOutcome
+from arbutusladder.cell.unsettledruns import settles_after
 from arbutusladder.cell.workers import Worker
 from arbutusladder.ids import VmId
 
@@ -27,6 +31,9 @@
 # a worker with tasks and on one without.
 BUSY_POLL_TIMEOUT_S = 0.6
 IDLE_POLL_TIMEOUT_S = 2.0
+# Shortest wait in seconds of a renewal for a doubt to end. Doubts that end one after
+# another are settled together, with two renewals in this time at most.
+MIN_DOUBT_POLL_TIMEOUT_S = 0.2
 # Longest time in seconds for which a report waits for the jobs that it names, so that
 # the leases of its worker do not end while the log does not answer.
 MAX_JOBS_READ_S = 0.5
@@ -78,6 +85,7 @@
 
     async def _renew_worker(self, vm: VmId) -> None:
         """Renews a worker's lease until it leaves the cell or the ownership ends."""
+        reported_at = -math.inf
         while not self._owner.ended:
             worker = self._state.worker_by_vm.get(vm)
             if worker is None:
@@ -87,16 +95,8 @@
                 if self._state.worker_by_vm.get(vm) is not worker:
                     continue
             sent_at = self._clock.now()
-            unacknowledged_ends = worker.last_end_number > worker.acknowledged
-            poll_timeout_s = (
-                BUSY_POLL_TIMEOUT_S if worker.run_by_key else IDLE_POLL_TIMEOUT_S
-            )
-            if (
-                unacknowledged_ends
-                or not worker.clock_known()
-                or worker.silent_since is not None
-            ):
-                poll_timeout_s = 0.0
+            unsettled = self._state.unsettled.on_worker(vm)
+            poll_timeout_s = _poll_timeout_s(worker, unsettled, reported_at, sent_at)
             lease_end = None
             may_extend = self._state.may_extend_lease(vm)
             if may_extend and self._owner.may_give_orders():
@@ -113,6 +113,7 @@
             )
             if isinstance(answer, WorkerReport):
                 answer = replace(answer, token_number=token_number)
+                reported_at = sent_at
             else:
                 answer = self._state.resolve_refusal(entry, answer, token_number)
             await self._handle_answer(vm, answer, sent_at)
@@ -192,6 +193,38 @@
                 worker.acknowledge_ends(min(highest_end, free_end))
 
 
+def _poll_timeout_s(
+    worker: Worker, unsettled: Collection[Run], reported_at: float, now: float
+) -> float:
+    """Returns the longest wait in seconds of the next renewal.
+
+    Only a report that is requested after a doubt has ended settles it. The renewal
+    before is answered by then, and the first one after it at once, but no further one:
+    a report that does not settle the doubt may be followed by others that do not.
+
+    Args:
+        worker: The worker.
+        unsettled: Its unsettled runs.
+        reported_at: Monotonic time in seconds at which the last renewal that was
+            answered with a report was sent.
+        now: Monotonic time in seconds.
+    """
+    unacknowledged_ends = worker.last_end_number > worker.acknowledged
+    if (
+        unacknowledged_ends
+        or not worker.clock_known()
+        or worker.silent_since is not None
+    ):
+        return 0.0
+    timeout_s = BUSY_POLL_TIMEOUT_S if worker.run_by_key else IDLE_POLL_TIMEOUT_S
+    doubt_ends = [run.doubt_ends_at for run in worker.run_by_key.values()]
+    doubt_ends += [settles_after(run) for run in unsettled]
+    if any(reported_at <= end < now for end in doubt_ends if end > -math.inf):
+        return max(0.0, reported_at + MIN_DOUBT_POLL_TIMEOUT_S - now)
+    next_end = min((end for end in doubt_ends if end >= now), default=math.inf)
+    return min(timeout_s, max(next_end - now, MIN_DOUBT_POLL_TIMEOUT_S))
+
+
 def _are_all_held(worker: Worker, now: float) -> bool:
     """Returns whether a worker lists ends, none of which may be acknowledged yet."""
     has_unacknowledged = worker.last_end_number > worker.acknowledged
--- a/arbutusladder/cell/unsettledruns.py
+++ b/arbutusladder/cell/unsettledruns.py
@@ -86,6 +86,18 @@
         return found
 
 
+def settles_after(run: Run) -> float:
+    """Returns the time after which a report has to be requested to settle a run.
+
+    Args:
+        run: An unsettled run.
+
+    Returns:
+        Monotonic time in seconds.
+    """
+    return max(run.changed_at, run.doubt_ends_at)
+
+
 def _doubt_key(run: Run) -> str:
     """Returns the name of the task of a run, or the key of its step for a gang."""
     return run.stage if run.spec and run.spec.gang else run.task
@@ -108,7 +120,7 @@
         if now > run.ordered_at + latest_order_end_s(max_lease_s):
             return EndEvidence(EndProof.ORDERS_EXPIRED, now, now - run.ordered_at)
         return None
-    if worker.listed_all_at > max(run.changed_at, run.doubt_ends_at):
+    if worker.listed_all_at > settles_after(run):
         return EndEvidence(EndProof.ORDERS_EXPIRED, now, now - worker.listed_all_at)
     silent_since = worker.silent_since
     if silent_since is not None and worker.is_run_over(run, now, max_lease_s):
