Soak: outages of the advice service

No play of the soak let the advice service fail, so nothing showed what callers and workers see when tickets are late or missing during restarts and cuts. Plans of known seeds stay the same.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -3,8 +3,8 @@
 Usage:
   soak run [--seeds=RANGE] [--seconds=S] [--entries=N] [--workers=N] [--logs=PATH]
            [--jobs=J] [--long=W] [--longest=S] [--wide=W] [--gangs=W] [--no-teams]
-           [--tickets]
-  soak plan SEED [--seconds=S] [--no-teams] [--tickets]
+           [(--tickets [--outages])]
+  soak plan SEED [--seconds=S] [--no-teams] [(--tickets [--outages])]
   soak play FILE [--entries=N] [--workers=N] [--logs=PATH] [--jobs=J] [--long=W]
            [--longest=S] [--wide=W] [--gangs=W] [--no-teams] [--tickets]
 
@@ -23,6 +23,7 @@
   --no-teams     Configuration without teams, and no faults that concern them.
   --tickets      Queues whose orders need tickets of the advice service, and recuts of
                  whole failure domains.
+  --outages      Outages of the advice service, which orders with tickets need.
 
 A seed decides the plan of faults, which `plan` prints as YAML and `play` plays again,
 also after edits. The timing of the processes differs from run to run. Run it as
@@ -55,7 +56,7 @@
 from arbutusladder.httppool import HttpConnectionPool
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeStore, free_port, loopback_ip
-from tests.platform.soakadvice import ADVICE, SoakAdvice
+from tests.platform.soakadvice import ADVICE, Outage, SoakAdvice
 from tests.platform.soakteams import (
     APPLY_MS,
     FLOOD_FACTOR,
@@ -190,18 +191,24 @@
 }
 # The same for faults of a failure domain, which come with tickets.
 ZONE_FAULTS = {"zone_recut": (7.0, 9.0, 1)}
+# The same for the advice service.
+ADVICE_FAULTS = {"advice_outage": (1.0, 5.0, 1)}
 # Shortest and longest time in seconds between two faults of a series.
 FAULT_INTERVAL_S, TEAM_FAULT_INTERVAL_S = (0.2, 2.5), (1.0, 4.0)
-ZONE_FAULT_INTERVAL_S = (3.0, 14.0)
+ZONE_FAULT_INTERVAL_S, ADVICE_FAULT_INTERVAL_S = (3.0, 14.0), (2.0, 8.0)
 
 
 def make_plan(
-    seed: int, seconds: float, teams: bool = False, tickets: bool = False
+    seed: int,
+    seconds: float,
+    teams: bool = False,
+    tickets: bool = False,
+    outages: bool = False,
 ) -> list[Fault]:
     """Returns the faults of a seed; they come in series and overlap.
 
-    What concerns teams, or comes with tickets, is a series of its own, so that the
-    first one stays the same.
+    What concerns teams or the advice service, or comes with tickets, is a series of
+    its own, so that the others stay the same.
     """
     plan = _draw_series(random.Random(seed), seconds, FAULTS, FAULT_INTERVAL_S)
     if teams:
@@ -210,6 +217,9 @@
     if tickets:
         draw = random.Random(f"tickets {seed}")
         plan += _draw_series(draw, seconds, ZONE_FAULTS, ZONE_FAULT_INTERVAL_S)
+    if outages:
+        draw = random.Random(f"outages {seed}")
+        plan += _draw_series(draw, seconds, ADVICE_FAULTS, ADVICE_FAULT_INTERVAL_S)
     return sorted(plan, key=lambda fault: fault.at)
 
 
@@ -329,6 +339,7 @@
         self.checker.highest_cap = self._teams.highest_cap
         self._pool = HttpConnectionPool(Clock())
         self._tickets = tickets
+        self._advice_services: list[SoakAdvice] = []
         self._shape_by_job: dict[str, tuple[float, list[int], int]] = {}
         self._accepted: set[str] = set()
         self._job_numbers = itertools.count(1)
@@ -404,9 +415,11 @@
 
     async def _start_advice(self):
         """Returns the address of an advice service for one entry VM."""
-        server = SoakAdvice(self.checker.workers).server
-        self._server_tasks.append(await curio.spawn(server.run, daemon=True))
-        return server.address
+        service = SoakAdvice(self.checker.workers)
+        self._advice_services.append(service)
+        run = service.server.run
+        self._server_tasks.append(await curio.spawn(run, daemon=True))
+        return service.server.address
 
     async def _inject(self, fault):
         self.checker.faults.append(fault.kind)
@@ -903,6 +916,18 @@
         await curio.sleep(fault.seconds)
         await flood.cancel()
 
+    async def inject_advice_outage(self, fault):
+        """Lets the advice service refuse calls, or answer them late or not at all.
+
+        The target chooses what it does.
+        """
+        outages = list(Outage)
+        for service in self._advice_services:
+            service.outage = outages[fault.target % len(outages)]
+        await curio.sleep(fault.seconds)
+        for service in self._advice_services:
+            service.outage = None
+
     async def inject_odd_entry(self, fault):
         """Writes an entry that names no worker; it stays without a duration.
 
@@ -982,10 +1007,13 @@
     options = docopt(__doc__)
     seconds = float(options["--seconds"])
     teams = {} if options["--no-teams"] else TEAMS
+    series = {
+        "teams": bool(teams),
+        "tickets": options["--tickets"],
+        "outages": options["--outages"],
+    }
     if options["plan"]:
-        plan = make_plan(
-            int(options["SEED"]), seconds, bool(teams), options["--tickets"]
-        )
+        plan = make_plan(int(options["SEED"]), seconds, **series)
         print(yaml.safe_dump([asdict(fault) for fault in plan], sort_keys=False))
         return 0
     sizes = int(options["--entries"]), int(options["--workers"])
@@ -1005,7 +1033,7 @@
     for seed in range(int(first), int(last or first) + 1):
         print(f"seed {seed}: ", end="", flush=True)
         logs = options["--logs"]
-        plan = make_plan(seed, seconds, bool(teams), options["--tickets"])
+        plan = make_plan(seed, seconds, **series)
         if play(plan, *sizes, logs and f"{logs}/{seed}", teams, *load):
             failed.append(seed)
     print(f"failed seeds: {failed}")
--- a/tests/platform/soakadvice.py
+++ b/tests/platform/soakadvice.py
@@ -1,6 +1,8 @@
 """Advice service of the fault soak: tickets for starts on some workers."""
 
 import json
+import random
+from enum import Enum
 from zlib import crc32
 
 import curio
@@ -14,6 +16,17 @@
 MAX_WORKERS, MAX_WAITING = 100, 32
 # One of so many workers may not run a step.
 EXCLUDED_ONE_OF = 3
+# Shortest and longest time by which an answer is late; entry VMs give a call up after
+# about a second.
+LATE_ANSWER_S = (0.2, 2.5)
+
+
+class Outage(Enum):
+    """What the service does with calls during an outage."""
+
+    REFUSED = "refused"
+    LATE = "late"
+    UNANSWERED = "unanswered"
 
 
 class SoakAdvice:
@@ -24,6 +37,7 @@
 
     Attributes:
         server: Server of the calls of the entry VM.
+        outage: Outage in progress, if any.
     """
 
     def __init__(self, workers):
@@ -31,6 +45,7 @@
         self._workers = workers
         self._lock = curio.Lock()
         self._waiting = 0
+        self.outage: Outage | None = None
 
     async def handle(self, request):
         """Handles a call."""
@@ -39,6 +54,8 @@
             return json_answer(400)
         if self._waiting >= MAX_WAITING:
             return json_answer(429)
+        if self.outage is Outage.REFUSED:
+            return json_answer(503)
         self._waiting += 1
         try:
             await self._lock.acquire()
@@ -50,7 +67,13 @@
             await curio.sleep(delay_ms / 1000)
         finally:
             await self._lock.release()
-        return json_answer(200, self._advise(body["step"], set(body["workers"])))
+        answer = json_answer(200, self._advise(body["step"], set(body["workers"])))
+        match self.outage:
+            case Outage.LATE:
+                await curio.sleep(random.uniform(*LATE_ANSWER_S))
+            case Outage.UNANSWERED:
+                await curio.sleep(3600)
+        return answer
 
     def _advise(self, step, names):
         """Returns tickets that are valid for the present incarnations of workers."""
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -17,6 +17,7 @@
 from arbutusladder.messages import CellClaim, Header
 from tests.platform.fakes import FakeRun, FakeStore, FakeTopic
 from tests.platform.soak import (
+    ADVICE_FAULTS,
     FAULTS,
     RECUT_FAULTS,
     ZONE_FAULTS,
@@ -24,7 +25,7 @@
     SoakRun,
     make_plan,
 )
-from tests.platform.soakadvice import ADVICE, MAX_WAITING, SoakAdvice
+from tests.platform.soakadvice import ADVICE, MAX_WAITING, Outage, SoakAdvice
 from tests.platform.soakworkers import (
     CANCEL_S,
     CORES,
@@ -572,6 +573,32 @@
 
         assert curio.run(play)[0] == 429
 
+    @pytest.mark.parametrize(
+        ("target", "status"), [(0, 503), (1, 200), (2, None)], ids=lambda v: str(v)
+    )
+    def test_outage(self, tmp_path, monkeypatch, target, status):
+        """Guards against an outage that changes no answers, or does not end."""
+        monkeypatch.setitem(ADVICE, "decision-ms", 10)
+        monkeypatch.setattr("tests.platform.soakadvice.LATE_ANSWER_S", (0.2, 0.2))
+        soak = SoakRun([], 1, 1, tmp_path, tickets=True)
+
+        async def play():
+            await soak._start_advice()
+            (service,) = soak._advice_services
+            call = self.advise(service, soak.checker.workers)
+            fault = Fault(0.0, "advice_outage", target, 0.1)
+            outage = await curio.spawn(soak.inject_advice_outage, fault)
+            await curio.sleep(0.02)
+            began_at = time.monotonic()
+            answer = await curio.ignore_after(0.5, call)
+            await outage.join()
+            assert (await call())[0] == 200
+            return answer and answer[0], time.monotonic() - began_at
+
+        answered, seconds = curio.run(play)
+        assert answered == status
+        assert status != 200 or seconds >= 0.2
+
 
 class TestGangs:
     """Members of a gang of two on two workers."""
@@ -863,6 +890,15 @@
         assert {fault.kind for fault in added} == set(ZONE_FAULTS)
         assert [fault for fault in with_tickets if fault in plan] == plan
 
+    def test_outages_add_a_series(self):
+        """Guards against plans of known seeds that change, or lack what is added."""
+        plan = make_plan(3, 30.0, teams=True, tickets=True)
+        with_outages = make_plan(3, 30.0, teams=True, tickets=True, outages=True)
+        added = [fault for fault in with_outages if fault not in plan]
+        assert {fault.kind for fault in added} == set(ADVICE_FAULTS)
+        assert {fault.target % len(Outage) for fault in added} == {0, 1, 2}
+        assert [fault for fault in with_outages if fault in plan] == plan
+
     @pytest.mark.parametrize("path", sorted(PLANS.glob("*.yaml")), ids=lambda p: p.name)
     def test_plan_file(self, path):
         """Guards against plans in files that cannot be played."""
@@ -871,5 +907,5 @@
 
     def test_each_kind_has_a_method(self):
         """Guards against a plan that ends with an unknown fault."""
-        kinds = [*FAULTS, *RECUT_FAULTS, *ZONE_FAULTS]
+        kinds = [*FAULTS, *RECUT_FAULTS, *ZONE_FAULTS, *ADVICE_FAULTS]
         assert all(hasattr(SoakRun, f"inject_{kind}") for kind in kinds)
