Soak: trace of lost jobs, and the reasons of the owner

The trace of a broken rule LOST names a job, so it showed neither the runs of its tasks nor the calls to their workers, and no trace showed the events that list runs or jobs: those that were lost and why (464), that may start again and on which proof (483), and what inherited jobs have stopped to wait for (484). A trace of a job now contains what concerns any of its tasks, and a trace of a task these events.

The test of it failed before: no line of five.

--- a/tests/platform/soaktrace.py
+++ b/tests/platform/soaktrace.py
@@ -10,6 +10,8 @@
 # Events of the owner about its ownership and about a whole worker.
 OWNER_EVENTS = {220, 221, 222, 223, 224, 225}
 WORKER_EVENTS = {411, 452, 464, 474}
+# Events of the owner whose text lists tasks or jobs.
+LIST_EVENTS = {464, 483, 484}
 # Longest trace in lines, and seconds before the first order to a worker and after the
 # last one was executed.
 MAX_LINES, LEAD_S = 120, 1.0
@@ -20,6 +22,11 @@
     return datetime.fromtimestamp(at, UTC).strftime("%H:%M:%S.%f")[:-3]
 
 
+def is_of(name: str, task: str) -> bool:
+    """Returns whether a task has this name, or is one of the job with this id."""
+    return name == task or name.startswith(f"{task}.")
+
+
 @dataclass
 class Call:
     """A call to a worker as it was executed; times are in seconds since 1970.
@@ -55,16 +62,16 @@
     ends: tuple = ()
 
     def describe(self, task: str) -> str:
-        """Returns what it shows of a task."""
+        """Returns what it shows of a task, or of the tasks of a job."""
         sent_to = "no life" if self.sent_to is None else f"{self.sent_to}"
         parts = [f"{self.kind} fence {self.body.get('fence', 0)} by {self.born}"]
         if self.kind == "hold":
-            runs = [number for name, number in self.runs if name == task]
-            ends = [row[:1] + row[2:4] for row in self.ends if row[1] == task]
+            runs = [number for name, number in self.runs if is_of(name, task)]
+            ends = [row[:1] + row[2:4] for row in self.ends if is_of(row[1], task)]
             parts += [f"observed {self.body.get('observed', 0)}"]
             parts += [f"runs {runs} ends {ends} of {len(self.runs)} runs"]
         else:
-            parts += [f"run {self.body.get('run')}"]
+            parts += [f"run {self.body.get('run')} of {self.body.get('task')}"]
         if self.lease_ms is not None:
             parts += [f"deadline in {self.lease_ms / 1000:.2f} s"]
         parts += [f"arrived {format_time(self.arrived_at)} for {sent_to}"]
@@ -93,7 +100,7 @@
     broken: list[tuple[float, str, str]] = field(default_factory=list)
 
     def describe(self, task: str, until: float, logs: Iterable[Path] = ()) -> list[str]:
-        """Returns what happened to a task, on all workers and at the owner.
+        """Returns what happened to a task or a job, on all workers and at the owner.
 
         The last lines until shortly after a Unix time are kept. What concerns a worker
         as a whole is shown from its first order for the task to the time at which none
@@ -103,12 +110,12 @@
         rows = [
             (call.executed_at, call.worker, call.describe(task))
             for call in self.calls
-            if call.body.get("task") == task
+            if is_of(call.body.get("task", ""), task)
         ]
         rows += [
-            (at, name, f"run {number} ends {how}")
+            (at, name, f"run {number} of {ended} ends {how}")
             for at, name, ended, number, how in self.ends
-            if ended == task
+            if is_of(ended, task)
         ]
         of_workers = [*self._reports(task), *self.states]
         for path in logs:
@@ -139,7 +146,7 @@
         """Returns first and last time of interest by worker."""
         spans = {}
         for call in self.calls:
-            if call.body.get("task") == task:
+            if is_of(call.body.get("task", ""), task):
                 first, last = spans.get(call.worker, (math.inf, 0.0))
                 first = min(first, call.arrived_at - LEAD_S)
                 last = max(last, call.executed_at + LEAD_S)
@@ -152,8 +159,8 @@
         for call in self.calls:
             if call.kind != "hold":
                 continue
-            runs = frozenset(number for name, number in call.runs if name == task)
-            ends = tuple(tuple(row) for row in call.ends if row[1] == task)
+            runs = frozenset(run for run in call.runs if is_of(run[0], task))
+            ends = tuple(tuple(row) for row in call.ends if is_of(row[1], task))
             state = call.born, call.body.get("fence", 0), runs, ends
             if shown.get(call.worker) != state:
                 shown[call.worker] = state
@@ -172,7 +179,8 @@
         event, fields = row["event"], row.get("fields", {})
         at = datetime.fromisoformat(row["time"]).replace(tzinfo=UTC).timestamp()
         shown = at, row["source"], f"{event} {row['text']}"
-        is_own = fields.get("task") == task or step == fields.get("step")
+        is_own = is_of(fields.get("task", ""), task) or step == fields.get("step")
+        is_own = is_own or (event in LIST_EVENTS and job in row["text"])
         if is_own or event in OWNER_EVENTS or fields.get("job") == job:
             own.append(shown)
         elif event in WORKER_EVENTS:
--- a/tests/platform/test_soakworkers.py
+++ b/tests/platform/test_soakworkers.py
@@ -3,6 +3,7 @@
 import json
 import signal
 import time
+from datetime import UTC, datetime
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -447,6 +448,31 @@
         curio.run(lambda: send(other, "run-start", **fields))
         assert worker._checker.trace.count_unheard_starts() == 2
 
+    def test_trace_of_a_job(self, worker, tmp_path):
+        """Guards against lost jobs without the runs of their tasks and the reasons."""
+        log, other_job = tmp_path / "edge-0.log", f"{JOB[:-1]}b"
+        at = datetime.now(UTC).replace(tzinfo=None).isoformat()
+        rows = [
+            {"event": 483, "text": f"may start again: {FIRST}:1(5)", "fields": {}},
+            {"event": 483, "text": f"may start again: {other_job}.0.0.0:1(5)"},
+            {"event": 481, "text": "no answer", "fields": {"task": FIRST}},
+            {"event": 481, "text": "no answer", "fields": {"task": other_job}},
+        ]
+        lines = [json.dumps({"time": at, "source": "edge-0"} | row) for row in rows]
+        log.write_text("\n".join(lines))
+
+        async def play():
+            await send(worker, "run-start", **start_fields(worker))
+            await send(worker, "hold", fence=2)
+
+        curio.run(play)
+        worker.end_run((FIRST, 1), "done")
+        rows = worker._checker.trace.describe(JOB, time.time(), [log])
+        names = sorted(row.split()[1] for row in rows)
+        assert names == ["edge-0"] * 2 + [worker.name] * 3
+        assert f"run 1 of {FIRST}" in rows[2] and "runs [1]" in rows[3]
+        assert f"run 1 of {FIRST} ends done" in rows[4]
+
 
 class TestTickets:
     """Starts on workers that need tickets, and the service that hands them out."""
