--- a/tests/cell/test_unsettledruns.py
+++ b/tests/cell/test_unsettledruns.py
@@ -13,8 +13,13 @@
     WorkerReport,
 )
 from arbutusladder.cell.placement import Placer
+from arbutusladder.cell.runs import MAX_SEND_DELAY_S
 from arbutusladder.cell.states import JobPhase, OrderOutcome, RunPhase
-from arbutusladder.cell.workers import MAX_ORDER_DELAY_S, latest_order_end_s
+from arbutusladder.cell.workers import (
+    MAX_ORDER_DELAY_S,
+    latest_order_end_s,
+    longest_lease_s,
+)
 from arbutusladder.messages import JobProgress
 from tests.cell import workloads
 from tests.cell.test_restartedworker import ENTRY, NEW, NOW, OLD, RestartingWorker
@@ -114,6 +119,28 @@
         assert not is_waiting(cell, NOW + 2.2)
 
 
+class TestSlowSend:
+    """Pattern: a call is sent later than the owner has noted it.
+
+    Guards against a worker that executes it 12 s after its bytes were sent.
+    """
+
+    SENT_AT = NOW + MAX_SEND_DELAY_S
+
+    def test_order_is_in_doubt_for_12_s_from_its_latest_bytes(self):
+        cell = excluded_cell()
+        cell.report(OLD, self.SENT_AT + 12.0, sent_at=self.SENT_AT + 11.9)
+        assert not is_waiting(cell, self.SENT_AT + 12.0)
+
+    def test_run_on_a_silent_worker_counts_from_its_latest_bytes(self):
+        cell = RestartingWorker()
+        cell.answer(NO_ANSWER, NOW + 0.8)
+        cell.worker.record_missed_renewal(NOW + 0.9)
+        end = self.SENT_AT + 12.0 + longest_lease_s(cell.state.max_lease_s)
+        assert not is_waiting(cell, end - 0.1)
+        assert is_waiting(cell, end + 0.1)
+
+
 class TestGang:
     """Pattern: one member's order got no answer, and the gang ends."""
 
